--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbrudder/internal/process"
+	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/telemetry"
+)
+
+type runFunc func(ctx context.Context, s settings.Settings, log *slog.Logger) error
+
+func newGateway() *cobra.Command {
+	return newRun("gateway", "Serve callers: online requests, plain services and batch jobs", process.RunGateway)
+}
+
+func newDispatcher() *cobra.Command {
+	return newRun("dispatcher", "Run the items of batch jobs in idle capacity", process.RunDispatcher)
+}
+
+func newController() *cobra.Command {
+	return newRun("controller", "Serve operators: the document, orders and reports", process.RunController)
+}
+
+func newRun(name, short string, run runFunc) *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:     name + " --settings FILE",
+		Short:   short,
+		Example: "  rhubarbrudder " + name + " --settings vm.jsonc",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			loaded, err := settings.Load(file)
+			if err != nil {
+				return errors.Join(errUsage, err)
+			}
+			return run(cmd.Context(), loaded, telemetry.NewLogger(os.Stderr, loaded.Log.Level))
+		},
+	}
+	command.Flags().StringVar(&file, "settings", "settings.jsonc", "the settings file, JSON with comments")
+	return command
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a settings file and start nothing",
+		Example: "  rhubarbrudder check vm.jsonc",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0]); err != nil {
+				return errors.Join(errUsage, err)
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), args[0]+": no faults")
+			return err
+		},
+	}
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "rhubarbrudder", Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/gateway/batch.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/request"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	// dueKey is the key of a batch's metadata that holds its due time, in RFC 3339.
+	dueKey = "due_at"
+	// servicesPrefix begins the paths of plain services.
+	servicesPrefix = "/services/"
+)
+
+type createBatchBody struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+type batchBody struct {
+	ID               string            `json:"id"`
+	Object           string            `json:"object"`
+	Endpoint         string            `json:"endpoint"`
+	Errors           any               `json:"errors"`
+	InputFileID      string            `json:"input_file_id"`
+	CompletionWindow string            `json:"completion_window"`
+	Status           string            `json:"status"`
+	OutputFileID     string            `json:"output_file_id,omitempty"`
+	ErrorFileID      string            `json:"error_file_id,omitempty"`
+	CreatedAt        int64             `json:"created_at"`
+	InProgressAt     int64             `json:"in_progress_at"`
+	ExpiresAt        int64             `json:"expires_at"`
+	CompletedAt      int64             `json:"completed_at,omitempty"`
+	CancellingAt     int64             `json:"cancelling_at,omitempty"`
+	CancelledAt      int64             `json:"cancelled_at,omitempty"`
+	RequestCounts    batchCounts       `json:"request_counts"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+type batchCounts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+// serveCreateBatch accepts a job; it answers only after the commit.
+func (g *Gateway) serveCreateBatch(c *caller) error {
+	data, err := c.body()
+	if err != nil {
+		return err
+	}
+	var body createBatchBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return request.Invalid("invalid_body", err.Error())
+	}
+	made, err := g.newJob(c, body)
+	if err != nil {
+		return err
+	}
+	made.BodyHash = document.HashOf(string(data))
+	stored, err := g.jobs.Create(c.r.Context(), made)
+	if err != nil {
+		return err
+	}
+	g.log.Info("batch accepted", "request", c.id, "organisation", c.organisation, "job", stored.ID, "items", stored.Items, "due", stored.Due)
+	return g.writeBatch(c, stored)
+}
+
+func (g *Gateway) newJob(c *caller, body createBatchBody) (job.Job, error) {
+	file, err := g.jobs.File(c.r.Context(), c.organisation, job.FileID(body.InputFileID))
+	if err != nil {
+		return job.Job{}, err
+	}
+	if file.Path != body.Endpoint {
+		return job.Job{}, request.Invalid("endpoint_mismatch", "the items name "+file.Path)
+	}
+	service, err := g.batchService(c, body.Endpoint, file)
+	if err != nil {
+		return job.Job{}, err
+	}
+	window, err := parseWindow(body.CompletionWindow, c.view.Policy)
+	if err != nil {
+		return job.Job{}, err
+	}
+	key := c.r.Header.Get(headerIdempotencyKey)
+	if key == "" {
+		key = string(c.id)
+	}
+	now := time.Now().UTC()
+	made := job.Job{
+		ID:           job.IDFor(c.organisation, key),
+		Organisation: c.organisation,
+		Service:      service,
+		File:         file.ID,
+		Path:         file.Path,
+		State:        job.StateRunning,
+		Items:        file.Items,
+		Lots:         file.Lots,
+		Window:       body.CompletionWindow,
+		Metadata:     body.Metadata,
+		Created:      now,
+		Due:          now.Add(window),
+	}
+	if due, given := body.Metadata[dueKey]; given {
+		made.Due, err = time.Parse(time.RFC3339, due)
+		if err != nil {
+			return job.Job{}, request.Invalid("invalid_due", dueKey+" must be a time in RFC 3339")
+		}
+	}
+	return made, nil
+}
+
+// batchService returns the service that a job's items go to.
+func (g *Gateway) batchService(c *caller, path string, file job.File) (document.ServiceName, error) {
+	if rest, plain := strings.CutPrefix(path, servicesPrefix); plain {
+		name, _, _ := strings.Cut(rest, "/")
+		if _, ok := c.view.Services[document.ServiceName(name)]; !ok {
+			return "", request.Invalid("service_not_found", "there is no service "+name)
+		}
+		return document.ServiceName(name), nil
+	}
+	service, ok := c.view.ServiceOf(file.Model)
+	if !ok {
+		return "", errUnknownModel
+	}
+	return service, nil
+}
+
+func parseWindow(window string, policy document.Policy) (time.Duration, error) {
+	if window == "" {
+		window = "24h"
+	}
+	parsed, err := time.ParseDuration(window)
+	longest := time.Duration(policy.MaximumWindowHours) * time.Hour
+	if err != nil || parsed <= 0 || parsed > longest {
+		return 0, request.Invalid("invalid_window", fmt.Sprintf("completion_window must be a time such as 24h, at most %s", longest))
+	}
+	return parsed, nil
+}
+
+func (g *Gateway) writeBatch(c *caller, found job.Job) error {
+	body, err := g.bodyOfBatch(c, found)
+	if err != nil {
+		return err
+	}
+	writeJSON(c.w, http.StatusOK, body)
+	return nil
+}
+
+func (g *Gateway) bodyOfBatch(c *caller, found job.Job) (batchBody, error) {
+	counts := found.Counts
+	if !found.State.Ended() {
+		lots, err := g.jobs.Lots(c.r.Context(), found.ID)
+		if err != nil {
+			return batchBody{}, err
+		}
+		counts, _, _ = job.Tally(lots)
+	}
+	body := batchBody{
+		ID:               string(found.ID),
+		Object:           "batch",
+		Endpoint:         found.Path,
+		InputFileID:      string(found.File),
+		CompletionWindow: found.Window,
+		Status:           status(found.State),
+		OutputFileID:     outputPrefix + string(found.ID),
+		CreatedAt:        found.Created.Unix(),
+		InProgressAt:     found.Created.Unix(),
+		ExpiresAt:        found.Due.Unix(),
+		RequestCounts: batchCounts{
+			Total:     found.Items,
+			Completed: counts.Completed,
+			Failed:    counts.Failed,
+		},
+		Metadata: found.Metadata,
+	}
+	if counts.Failed > 0 {
+		body.ErrorFileID = errorPrefix + string(found.ID)
+	}
+	if !found.Cancelled.IsZero() {
+		body.CancellingAt = found.Cancelled.Unix()
+	}
+	if found.State == job.StateCompleted {
+		body.CompletedAt = found.Ended.Unix()
+	}
+	if found.State == job.StateCancelled {
+		body.CancelledAt = found.Ended.Unix()
+	}
+	return body, nil
+}
+
+func status(state job.State) string {
+	if state == job.StateRunning {
+		return "in_progress"
+	}
+	return strings.ToLower(string(state))
+}
+
+func (g *Gateway) serveBatch(c *caller) error {
+	found, err := g.jobs.Job(c.r.Context(), c.organisation, job.ID(c.r.PathValue("batch")))
+	if err != nil {
+		return err
+	}
+	return g.writeBatch(c, found)
+}
+
+const (
+	defaultPage = 20
+	largestPage = 100
+)
+
+func (g *Gateway) serveBatches(c *caller) error {
+	query := c.r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit < 1 {
+		limit = defaultPage
+	}
+	limit = min(limit, largestPage)
+	found, err := g.jobs.JobsOf(c.r.Context(), c.organisation, job.ID(query.Get("after")), limit+1)
+	if err != nil {
+		return err
+	}
+	more := len(found) > limit
+	bodies := make([]batchBody, 0, limit)
+	for _, one := range found[:min(limit, len(found))] {
+		body, err := g.bodyOfBatch(c, one)
+		if err != nil {
+			return err
+		}
+		bodies = append(bodies, body)
+	}
+	writeJSON(c.w, http.StatusOK, listBody{
+		Object:  "list",
+		Data:    bodies,
+		HasMore: more,
+	})
+	return nil
+}
+
+func (g *Gateway) serveCancelBatch(c *caller) error {
+	cancelled, err := g.jobs.Cancel(c.r.Context(), c.organisation, job.ID(c.r.PathValue("batch")))
+	if err != nil {
+		return err
+	}
+	g.log.Info("batch cancelled", "request", c.id, "organisation", c.organisation, "job", cancelled.ID)
+	return g.writeBatch(c, cancelled)
+}
--- /dev/null
+++ b/internal/gateway/completion.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"cmp"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/request"
+)
+
+// requestDeadline bounds an online request from arrival to the end of its answer.
+const requestDeadline = 10 * time.Minute
+
+func (g *Gateway) serveCompletion(c *caller) error {
+	body, err := c.body()
+	if err != nil {
+		return err
+	}
+	shape, err := request.ParseShape(c.r.URL.Path, body)
+	if err != nil {
+		return err
+	}
+	service, ok := c.view.ServiceOf(shape.Model)
+	if !ok {
+		return errUnknownModel
+	}
+	return g.forward(c, request.Request{
+		ID:           c.id,
+		Organisation: c.organisation,
+		Service:      service,
+		Class:        request.ClassOnline,
+		Method:       http.MethodPost,
+		Path:         c.r.URL.Path,
+		Header:       c.r.Header,
+		Body:         body,
+		Shape:        shape,
+		Idempotent:   true,
+		Deadline:     time.Now().Add(requestDeadline),
+	})
+}
+
+func (g *Gateway) servePlain(c *caller) error {
+	name := document.ServiceName(c.r.PathValue("service"))
+	service, ok := c.view.Services[name]
+	if !ok || service.Kind != document.KindPlain {
+		return request.Invalid("service_not_found", "there is no such service")
+	}
+	body, err := c.body()
+	if err != nil {
+		return err
+	}
+	path := "/" + c.r.PathValue("path")
+	if c.r.URL.RawQuery != "" {
+		path += "?" + c.r.URL.RawQuery
+	}
+	return g.forward(c, request.Request{
+		ID:           c.id,
+		Organisation: c.organisation,
+		Service:      name,
+		Class:        request.ClassOnline,
+		Method:       c.r.Method,
+		Path:         path,
+		Header:       c.r.Header,
+		Body:         body,
+		Idempotent:   idempotent(service, c.r.Method, path),
+		Deadline:     time.Now().Add(requestDeadline),
+	})
+}
+
+// idempotent reports whether a call of a plain service may be repeated.
+func idempotent(service document.Service, method, path string) bool {
+	if method == http.MethodGet || method == http.MethodHead {
+		return true
+	}
+	for _, prefix := range service.NonIdempotentPaths {
+		if strings.HasPrefix(path, prefix) {
+			return false
+		}
+	}
+	return true
+}
+
+// forward counts the request against the organisation's limit and routes it.
+func (g *Gateway) forward(c *caller, req request.Request) error {
+	limit := c.view.Organisations[c.organisation]
+	leave, err := g.limiter.Enter(c.organisation, limit, len(g.members.Alive(fleet.RoleGateway)))
+	if err != nil {
+		return err
+	}
+	defer leave()
+	out := &sink{
+		w: c.w,
+	}
+	started := time.Now()
+	err = g.router.Do(c.r.Context(), req, &request.Ticket{}, out)
+	if err != nil && out.begun {
+		return errors.Join(errBegun, err)
+	}
+	if err == nil {
+		g.log.Debug("request served", endpoint.HeaderRequestID, req.ID, "organisation", req.Organisation, "service", req.Service, "took", time.Since(started))
+	}
+	return err
+}
+
+type modelBody struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type listBody struct {
+	Object  string `json:"object"`
+	Data    any    `json:"data"`
+	HasMore bool   `json:"has_more"`
+}
+
+func (g *Gateway) serveModels(c *caller) error {
+	var models []modelBody
+	add := func(name document.ModelName) {
+		if _, served := c.view.ServiceOf(name); served {
+			models = append(models, modelBody{
+				ID:      string(name),
+				Object:  "model",
+				OwnedBy: "rhubarbrudder",
+			})
+		}
+	}
+	for name, model := range c.view.Models {
+		add(name)
+		for _, adapter := range model.Adapters {
+			add(document.ModelName(adapter))
+		}
+	}
+	slices.SortFunc(models, func(a, b modelBody) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+	writeJSON(c.w, http.StatusOK, listBody{
+		Object: "list",
+		Data:   models,
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/file.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/request"
+)
+
+// maxFileBytes bounds an uploaded file.
+const maxFileBytes = 8 << 30
+
+const (
+	outputPrefix = "file-output-"
+	errorPrefix  = "file-error-"
+)
+
+type fileBody struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int64  `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+	Status    string `json:"status"`
+}
+
+func bodyOfFile(file job.File) fileBody {
+	return fileBody{
+		ID:        string(file.ID),
+		Object:    "file",
+		Bytes:     file.Bytes,
+		CreatedAt: file.Created.Unix(),
+		Filename:  file.Name,
+		Purpose:   file.Purpose,
+		Status:    "processed",
+	}
+}
+
+// serveUpload takes a file as it streams in; its row is stored after all its lots.
+func (g *Gateway) serveUpload(c *caller) error {
+	c.r.Body = http.MaxBytesReader(c.w, c.r.Body, maxFileBytes)
+	parts, err := c.r.MultipartReader()
+	if err != nil {
+		return request.Invalid("invalid_form", "want multipart/form-data with purpose and file")
+	}
+	for {
+		part, err := parts.NextPart()
+		if errors.Is(err, io.EOF) {
+			return request.Invalid("invalid_form", "the form has no file")
+		}
+		if err != nil {
+			return request.Invalid("invalid_form", err.Error())
+		}
+		if part.FormName() != "file" {
+			continue
+		}
+		intake := job.NewIntake(g.jobs.Objects(), c.view.Policy, c.organisation, part.FileName())
+		file, err := intake.Read(c.r.Context(), part)
+		if err != nil {
+			return err
+		}
+		if err := g.jobs.PutFile(c.r.Context(), file); err != nil {
+			return err
+		}
+		g.log.Info("file accepted", "request", c.id, "organisation", c.organisation, "file", file.ID, "items", file.Items, "lots", file.Lots)
+		writeJSON(c.w, http.StatusOK, bodyOfFile(file))
+		return nil
+	}
+}
+
+func (g *Gateway) serveFile(c *caller) error {
+	id := c.r.PathValue("file")
+	if batch, kind := resultFile(id); kind != "" {
+		found, err := g.jobs.Job(c.r.Context(), c.organisation, batch)
+		if err != nil {
+			return err
+		}
+		writeJSON(c.w, http.StatusOK, fileBody{
+			ID:        id,
+			Object:    "file",
+			CreatedAt: found.Created.Unix(),
+			Filename:  kind + ".jsonl",
+			Purpose:   "batch_output",
+			Status:    "processed",
+		})
+		return nil
+	}
+	file, err := g.jobs.File(c.r.Context(), c.organisation, job.FileID(id))
+	if err != nil {
+		return err
+	}
+	writeJSON(c.w, http.StatusOK, bodyOfFile(file))
+	return nil
+}
+
+// resultFile returns the job and the kind of a result file's id, or an empty kind.
+func resultFile(id string) (job.ID, string) {
+	if batch, ok := strings.CutPrefix(id, outputPrefix); ok {
+		return job.ID(batch), "output"
+	}
+	if batch, ok := strings.CutPrefix(id, errorPrefix); ok {
+		return job.ID(batch), "error"
+	}
+	return "", ""
+}
+
+// serveContent streams a file's content, lot by lot; a job's results are readable while it runs.
+func (g *Gateway) serveContent(c *caller) error {
+	objects, err := g.contentObjects(c)
+	if err != nil {
+		return err
+	}
+	c.w.Header().Set("Content-Type", "application/jsonl")
+	begun := false
+	for _, name := range objects {
+		if err := g.copyObject(c, name); err != nil {
+			if begun {
+				return errors.Join(errBegun, err)
+			}
+			return err
+		}
+		begun = true
+	}
+	return nil
+}
+
+func (g *Gateway) contentObjects(c *caller) ([]platform.ObjectName, error) {
+	id := c.r.PathValue("file")
+	batch, kind := resultFile(id)
+	if kind == "" {
+		return g.inputObjects(c, job.FileID(id))
+	}
+	if _, err := g.jobs.Job(c.r.Context(), c.organisation, batch); err != nil {
+		return nil, err
+	}
+	lots, err := g.jobs.Lots(c.r.Context(), batch)
+	if err != nil {
+		return nil, err
+	}
+	var objects []platform.ObjectName
+	for _, lot := range lots {
+		name := lot.Results
+		if kind == "error" {
+			name = lot.Errors
+		}
+		if name != "" {
+			objects = append(objects, name)
+		}
+	}
+	return objects, nil
+}
+
+func (g *Gateway) inputObjects(c *caller, id job.FileID) ([]platform.ObjectName, error) {
+	file, err := g.jobs.File(c.r.Context(), c.organisation, id)
+	if err != nil {
+		return nil, err
+	}
+	objects := make([]platform.ObjectName, 0, file.Lots)
+	for number := range file.Lots {
+		objects = append(objects, job.InputObject(file.ID, number))
+	}
+	return objects, nil
+}
+
+func (g *Gateway) copyObject(c *caller, name platform.ObjectName) error {
+	body, err := g.jobs.Objects().Open(c.r.Context(), name)
+	if err != nil {
+		return errors.Join(job.ErrUnavailable, err)
+	}
+	defer func() { _ = body.Close() }()
+	_, err = io.Copy(c.w, body)
+	return err
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,141 @@
+// Package gateway serves callers: completions, plain services, files and batch jobs.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/organisation"
+	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/router"
+)
+
+// Document is the view in force.
+type Document interface {
+	View() *document.View
+}
+
+// Members lists the processes alive.
+type Members interface {
+	Alive(role fleet.Role) []fleet.Member
+}
+
+// Router passes a request's answer to a sink.
+type Router interface {
+	Do(ctx context.Context, req request.Request, ticket *request.Ticket, sink router.Sink) error
+}
+
+// Jobs keeps files and jobs.
+type Jobs interface {
+	Objects() job.Objects
+	PutFile(ctx context.Context, file job.File) error
+	File(ctx context.Context, id document.OrganisationID, file job.FileID) (job.File, error)
+	Create(ctx context.Context, made job.Job) (job.Job, error)
+	Job(ctx context.Context, id document.OrganisationID, wanted job.ID) (job.Job, error)
+	JobsOf(ctx context.Context, id document.OrganisationID, after job.ID, limit int) ([]job.Job, error)
+	Cancel(ctx context.Context, id document.OrganisationID, wanted job.ID) (job.Job, error)
+	Lots(ctx context.Context, id job.ID) ([]job.LotRow, error)
+}
+
+// Limiter holds organisations to their limits.
+type Limiter interface {
+	Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error)
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	document Document
+	members  Members
+	router   Router
+	jobs     Jobs
+	limiter  Limiter
+	log      *slog.Logger
+}
+
+// Parts is what a gateway depends on.
+type Parts struct {
+	Document Document
+	Members  Members
+	Router   Router
+	Jobs     Jobs
+	Limiter  Limiter
+	Log      *slog.Logger
+}
+
+// New returns a gateway.
+func New(parts Parts) *Gateway {
+	return &Gateway{
+		document: parts.Document,
+		members:  parts.Members,
+		router:   parts.Router,
+		jobs:     parts.Jobs,
+		limiter:  parts.Limiter,
+		log:      parts.Log,
+	}
+}
+
+// Handler returns the callers' HTTP handler.
+func (g *Gateway) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", g.as(g.serveCompletion))
+	mux.HandleFunc("POST /v1/completions", g.as(g.serveCompletion))
+	mux.HandleFunc("GET /v1/models", g.as(g.serveModels))
+	mux.HandleFunc("POST /v1/files", g.as(g.serveUpload))
+	mux.HandleFunc("GET /v1/files/{file}", g.as(g.serveFile))
+	mux.HandleFunc("GET /v1/files/{file}/content", g.as(g.serveContent))
+	mux.HandleFunc("POST /v1/batches", g.as(g.serveCreateBatch))
+	mux.HandleFunc("GET /v1/batches", g.as(g.serveBatches))
+	mux.HandleFunc("GET /v1/batches/{batch}", g.as(g.serveBatch))
+	mux.HandleFunc("POST /v1/batches/{batch}/cancel", g.as(g.serveCancelBatch))
+	mux.HandleFunc("/services/{service}/{path...}", g.as(g.servePlain))
+	return mux
+}
+
+// caller is an authenticated caller's request on its way.
+type caller struct {
+	w            http.ResponseWriter
+	r            *http.Request
+	id           request.ID
+	organisation document.OrganisationID
+	view         *document.View
+}
+
+// as authenticates the caller and logs how the request ended.
+func (g *Gateway) as(serve func(c *caller) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &caller{
+			w:    w,
+			r:    r,
+			id:   request.NewID(),
+			view: g.document.View(),
+		}
+		w.Header().Set(endpoint.HeaderRequestID, string(c.id))
+		var err error
+		c.organisation, err = organisation.Authenticate(c.view, r)
+		if err == nil {
+			err = serve(c)
+		}
+		if err != nil {
+			g.refuse(c, err)
+		}
+	}
+}
+
+// maxBodyBytes bounds a request's body; files have a bound of their own.
+const maxBodyBytes = 16 << 20
+
+func (c *caller) body() ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBodyBytes))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, errBodyTooLarge
+	}
+	return data, err
+}
--- /dev/null
+++ b/internal/job/intake.go
@@ -0,0 +1,181 @@
+package job
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/tidwall/gjson"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/platform"
+)
+
+// completionPrefix begins the paths of completions.
+const completionPrefix = "/v1/"
+
+// maxLineBytes bounds one item.
+const maxLineBytes = 4 << 20
+
+// Intake splits an input file into lots as it arrives; it holds one lot at a time.
+type Intake struct {
+	objects Objects
+	policy  document.Policy
+	file    File
+	lot     bytes.Buffer
+	items   int
+	line    int
+	ids     map[uint64]struct{}
+}
+
+// NewIntake returns an intake of a file of the organisation.
+func NewIntake(objects Objects, policy document.Policy, organisation document.OrganisationID, name string) *Intake {
+	return &Intake{
+		objects: objects,
+		policy:  policy,
+		file: File{
+			ID:           FileID("file-" + uuid.Must(uuid.NewV7()).String()),
+			Organisation: organisation,
+			Name:         name,
+			Purpose:      "batch",
+			Created:      time.Now().UTC(),
+		},
+		ids: map[uint64]struct{}{},
+	}
+}
+
+// Read stores the lots of the input and returns the file, whose row is not stored yet.
+// An *InputError names the first line that can't be used.
+func (i *Intake) Read(ctx context.Context, input io.Reader) (File, error) {
+	scanner := bufio.NewScanner(input)
+	scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
+	for scanner.Scan() {
+		i.line++
+		line := bytes.TrimSpace(scanner.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		if err := i.check(line); err != nil {
+			return File{}, err
+		}
+		if err := i.add(ctx, line); err != nil {
+			return File{}, err
+		}
+	}
+	if errors.Is(scanner.Err(), bufio.ErrTooLong) {
+		return File{}, i.wrong("the line is too long")
+	}
+	if err := scanner.Err(); err != nil {
+		return File{}, err
+	}
+	if err := i.flush(ctx); err != nil {
+		return File{}, err
+	}
+	if i.file.Items == 0 {
+		return File{}, i.wrong("the file has no items")
+	}
+	return i.file, nil
+}
+
+func (i *Intake) wrong(reason string) error {
+	return &InputError{
+		Line:   i.line,
+		Reason: reason,
+	}
+}
+
+func (i *Intake) check(line []byte) error {
+	var item Item
+	if err := json.Unmarshal(line, &item); err != nil {
+		return i.wrong("not JSON: " + err.Error())
+	}
+	switch {
+	case item.CustomID == "":
+		return i.wrong("custom_id is missing")
+	case item.Method != http.MethodPost:
+		return i.wrong("method must be POST")
+	case item.URL == "":
+		return i.wrong("url is missing")
+	case len(item.Body) == 0:
+		return i.wrong("body is missing")
+	case i.file.Path != "" && i.file.Path != item.URL:
+		return i.wrong("url differs from the first item's")
+	}
+	i.file.Path = item.URL
+	if err := i.checkModel(item); err != nil {
+		return err
+	}
+	hash := xxhash.Sum64String(item.CustomID)
+	if _, twice := i.ids[hash]; twice {
+		return i.wrong("custom_id " + item.CustomID + " is used twice")
+	}
+	i.ids[hash] = struct{}{}
+	return nil
+}
+
+// checkModel holds the items of a completion job to one model.
+func (i *Intake) checkModel(item Item) error {
+	if !strings.HasPrefix(item.URL, completionPrefix) {
+		return nil
+	}
+	model := document.ModelName(gjson.GetBytes(item.Body, "model").String())
+	switch {
+	case model == "":
+		return i.wrong("body.model is missing")
+	case i.file.Model != "" && i.file.Model != model:
+		return i.wrong("body.model differs from the first item's")
+	}
+	i.file.Model = model
+	return nil
+}
+
+func (i *Intake) add(ctx context.Context, line []byte) error {
+	full := i.items == i.policy.LotItems || int64(i.lot.Len()+len(line)) > i.policy.LotBytes
+	if full && i.items > 0 {
+		if err := i.flush(ctx); err != nil {
+			return err
+		}
+	}
+	i.lot.Write(line)
+	i.lot.WriteByte('\n')
+	i.items++
+	i.file.Items++
+	i.file.Bytes += int64(len(line) + 1)
+	return nil
+}
+
+func (i *Intake) flush(ctx context.Context) error {
+	if i.items == 0 {
+		return nil
+	}
+	err := putObject(ctx, i.objects, InputObject(i.file.ID, i.file.Lots), i.lot.Bytes())
+	if err != nil {
+		return err
+	}
+	i.file.Lots++
+	i.items = 0
+	i.lot.Reset()
+	return nil
+}
+
+// putAttempts is how often a put whose outcome is unknown is repeated; a repeat stores the same bytes.
+const putAttempts = 4
+
+func putObject(ctx context.Context, objects Objects, name platform.ObjectName, data []byte) error {
+	var err error
+	for range putAttempts {
+		err = objects.Put(ctx, name, data)
+		if !errors.Is(err, platform.ErrUnknown) {
+			break
+		}
+	}
+	return storeError(err)
+}
--- /dev/null
+++ b/internal/jsonc/jsonc.go
@@ -0,0 +1,249 @@
+// Package jsonc decodes JSON with comments strictly and reports every fault with its line.
+package jsonc
+
+import (
+	"encoding"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/tailscale/hujson"
+)
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	File  string
+	Line  int
+	Field string
+	Wrong string
+	Want  string
+}
+
+// Faults is every fault of a file.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// String returns the fault as file, line, field, what is wrong and what is expected.
+func (f Fault) String() string {
+	line := fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Field, f.Wrong)
+	if f.Want != "" {
+		line += "; want " + f.Want
+	}
+	return line
+}
+
+// Decode decodes data into target, a pointer to a struct, and returns every fault; name stands for the file.
+func Decode(name string, data []byte, target any) Faults {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return Faults{
+			{
+				File:  name,
+				Line:  syntaxLine(err),
+				Field: "(file)",
+				Wrong: strings.TrimPrefix(err.Error(), "hujson: "),
+				Want:  "JSON with comments",
+			},
+		}
+	}
+	d := &decoder{
+		file: name,
+		data: data,
+	}
+	d.value("", &root, reflect.ValueOf(target).Elem())
+	if len(d.faults) == 0 {
+		d.validate(&root, target)
+	}
+	return d.faults
+}
+
+func syntaxLine(err error) int {
+	var line, column int
+	text := err.Error()
+	if at := strings.Index(text, "line "); at >= 0 {
+		_, _ = fmt.Sscanf(text[at:], "line %d, column %d", &line, &column)
+	}
+	return line
+}
+
+type decoder struct {
+	file   string
+	data   []byte
+	faults Faults
+}
+
+func (d *decoder) fault(field string, value *hujson.Value, wrong, want string) {
+	line := 1 + strings.Count(string(d.data[:min(value.StartOffset, len(d.data))]), "\n")
+	d.faults = append(d.faults, Fault{
+		File:  d.file,
+		Line:  line,
+		Field: field,
+		Wrong: wrong,
+		Want:  want,
+	})
+}
+
+func (d *decoder) value(field string, value *hujson.Value, target reflect.Value) {
+	if _, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.leaf(field, value, target)
+		return
+	}
+	object, isObject := value.Value.(*hujson.Object)
+	switch target.Kind() {
+	case reflect.Struct:
+		if !isObject {
+			d.fault(field, value, "has the wrong type", "an object")
+			return
+		}
+		d.object(field, object, target)
+	case reflect.Map:
+		if !isObject {
+			d.fault(field, value, "has the wrong type", "an object")
+			return
+		}
+		d.entries(field, object, target)
+	default:
+		d.leaf(field, value, target)
+	}
+}
+
+func (d *decoder) object(field string, object *hujson.Object, target reflect.Value) {
+	seen := map[string]bool{}
+	for i := range object.Members {
+		member := &object.Members[i]
+		name := memberName(member)
+		path := join(field, name)
+		if seen[name] {
+			d.fault(path, &member.Name, "is given twice", "it once")
+			continue
+		}
+		seen[name] = true
+		if _, ok := target.Type().FieldByName(name); !ok {
+			d.fault(path, &member.Name, "is not a known field", "one of "+fieldNames(target.Type()))
+			continue
+		}
+		d.value(path, &member.Value, target.FieldByName(name))
+	}
+}
+
+func (d *decoder) entries(field string, object *hujson.Object, target reflect.Value) {
+	if target.IsNil() {
+		target.Set(reflect.MakeMap(target.Type()))
+	}
+	for i := range object.Members {
+		member := &object.Members[i]
+		name := memberName(member)
+		entry := reflect.New(target.Type().Elem()).Elem()
+		d.value(join(field, name), &member.Value, entry)
+		target.SetMapIndex(reflect.ValueOf(name).Convert(target.Type().Key()), entry)
+	}
+}
+
+func (d *decoder) leaf(field string, value *hujson.Value, target reflect.Value) {
+	standard := value.Clone()
+	standard.Standardize()
+	err := json.Unmarshal(standard.Pack(), target.Addr().Interface())
+	if err == nil {
+		return
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		d.fault(field, value, "has the wrong type", typeName(target.Type()))
+		return
+	}
+	d.fault(field, value, "has a value that can't be used", err.Error())
+}
+
+func (d *decoder) validate(root *hujson.Value, target any) {
+	err := validator.New().Struct(target)
+	var invalid validator.ValidationErrors
+	if !errors.As(err, &invalid) {
+		return
+	}
+	for _, wrong := range invalid {
+		_, path, _ := strings.Cut(wrong.StructNamespace(), ".")
+		where := root.Find(pointer(path))
+		if where == nil {
+			where = root
+			d.fault(path, where, "is missing or out of range", expectation(wrong))
+			continue
+		}
+		d.fault(path, where, fmt.Sprintf("has the value %v", wrong.Value()), expectation(wrong))
+	}
+}
+
+func expectation(wrong validator.FieldError) string {
+	switch wrong.Tag() {
+	case "required":
+		return "a value"
+	case "ip":
+		return "an IP number, not a host name"
+	case "url":
+		return "a URL"
+	case "oneof":
+		return "one of " + wrong.Param()
+	case "min", "gte":
+		return "at least " + wrong.Param()
+	case "max", "lte":
+		return "at most " + wrong.Param()
+	case "gt":
+		return "more than " + wrong.Param()
+	}
+	return strings.TrimSpace(wrong.Tag() + " " + wrong.Param())
+}
+
+func pointer(path string) string {
+	path = strings.NewReplacer("[", ".", "]", "").Replace(path)
+	return "/" + strings.ReplaceAll(path, ".", "/")
+}
+
+func memberName(member *hujson.ObjectMember) string {
+	literal, ok := member.Name.Value.(hujson.Literal)
+	if !ok {
+		return ""
+	}
+	return literal.String()
+}
+
+func join(field, name string) string {
+	if field == "" {
+		return name
+	}
+	return field + "." + name
+}
+
+func fieldNames(t reflect.Type) string {
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return t.String()
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,232 @@
+// Package peer carries net/rpc between the system's own processes.
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+// Secret authenticates the fleet's processes to each other.
+type Secret []byte
+
+// Server serves net/rpc to peers that know the secret.
+type Server struct {
+	rpc    *rpc.Server
+	secret Secret
+	log    *slog.Logger
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// NewServer returns a server without services.
+func NewServer(secret Secret, log *slog.Logger) *Server {
+	return &Server{
+		rpc:    rpc.NewServer(),
+		secret: secret,
+		log:    log,
+		conns:  map[net.Conn]bool{},
+	}
+}
+
+// Register adds a service under the name; its exported methods have net/rpc's form.
+func (s *Server) Register(name string, service any) error {
+	return s.rpc.RegisterName(name, service)
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		go s.serve(conn)
+	}
+}
+
+// Close ends every connection.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	if err := s.admit(conn); err != nil {
+		s.log.Warn("peer refused", "remote", conn.RemoteAddr(), "err", err)
+		_ = conn.Close()
+		return
+	}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	s.conns[conn] = true
+	s.mu.Unlock()
+	s.rpc.ServeConn(conn)
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+const (
+	nonceBytes       = 16
+	handshakeTimeout = 2 * time.Second
+)
+
+// admit sends a nonce and checks the proof that the peer knows the secret.
+func (s *Server) admit(conn net.Conn) error {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	if _, err := conn.Write(nonce); err != nil {
+		return err
+	}
+	given := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, given); err != nil {
+		return err
+	}
+	if subtle.ConstantTimeCompare(given, proof(s.secret, nonce)) != 1 {
+		return ErrSecret
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// Pool keeps a connection to each peer.
+type Pool struct {
+	secret Secret
+	mu     sync.Mutex
+	conns  map[string]*rpc.Client
+	cut    map[string]bool
+}
+
+// NewPool returns a pool without connections.
+func NewPool(secret Secret) *Pool {
+	return &Pool{
+		secret: secret,
+		conns:  map[string]*rpc.Client{},
+		cut:    map[string]bool{},
+	}
+}
+
+const dialTimeout = time.Second
+
+// Call calls a method of a peer. ErrUnreachable means that no answer came; the call may have run.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	client, err := p.client(ctx, address)
+	if err != nil {
+		return errors.Join(ErrUnreachable, err)
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		// The reply may still be written to; a connection that is late is given up.
+		p.drop(address, client)
+		return errors.Join(ErrUnreachable, ctx.Err())
+	case <-call.Done:
+	}
+	var failed rpc.ServerError
+	if errors.As(call.Error, &failed) {
+		return call.Error
+	}
+	if call.Error != nil {
+		p.drop(address, client)
+		return errors.Join(ErrUnreachable, call.Error)
+	}
+	return nil
+}
+
+// Cut makes an address unreachable from this pool, for tests of cut networks.
+func (p *Pool) Cut(address string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[address] = cut
+	if client := p.conns[address]; cut && client != nil {
+		_ = client.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Close ends every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, client := range p.conns {
+		_ = client.Close()
+		delete(p.conns, address)
+	}
+}
+
+func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	client := p.conns[address]
+	cut := p.cut[address]
+	p.mu.Unlock()
+	if cut {
+		return nil, ErrUnreachable
+	}
+	if client != nil {
+		return client, nil
+	}
+	client, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.conns[address]; other != nil {
+		_ = client.Close()
+		return other, nil
+	}
+	p.conns[address] = client
+	return client, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	nonce := make([]byte, nonceBytes)
+	if _, err := io.ReadFull(conn, nonce); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if _, err := conn.Write(proof(p.secret, nonce)); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return rpc.NewClient(conn), nil
+}
+
+func (p *Pool) drop(address string, client *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = client.Close()
+	if p.conns[address] == client {
+		delete(p.conns, address)
+	}
+}
--- /dev/null
+++ b/internal/platform/budget.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/time/rate"
+)
+
+// Rate is a number of operations a second.
+type Rate float64
+
+// Budget is a process's share of what the platform serves; a short budget goes to lower classes first.
+type Budget struct {
+	mu      sync.Mutex
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	waiting [ClassCount]int
+	turn    chan struct{}
+}
+
+// burstSeconds is how much unused budget may be saved up.
+const burstSeconds = 2
+
+// NewBudget returns a budget of the given rates.
+func NewBudget(writes, reads Rate) *Budget {
+	return &Budget{
+		reads:  rate.NewLimiter(rate.Limit(reads), max(1, int(reads*burstSeconds))),
+		writes: rate.NewLimiter(rate.Limit(writes), max(MaxWrites, int(writes*burstSeconds))),
+		turn:   make(chan struct{}),
+	}
+}
+
+// SetRates changes the share, as when the fleet grows.
+func (b *Budget) SetRates(writes, reads Rate) {
+	b.writes.SetLimit(rate.Limit(writes))
+	b.reads.SetLimit(rate.Limit(reads))
+}
+
+func (b *Budget) waitRead(ctx context.Context) error {
+	if b == nil {
+		return nil
+	}
+	if err := b.reads.Wait(ctx); err != nil {
+		return ErrUnavailable
+	}
+	return nil
+}
+
+// waitWrite waits until no lower class waits and the rate allows the writes.
+func (b *Budget) waitWrite(ctx context.Context, txn Txn) error {
+	if b == nil {
+		return nil
+	}
+	b.enter(txn.Class)
+	defer b.leave(txn.Class)
+	for {
+		turn, yield := b.mustYield(txn.Class)
+		if !yield {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return ErrUnavailable
+		case <-turn:
+		}
+	}
+	if err := b.writes.WaitN(ctx, len(txn.Writes)); err != nil {
+		return ErrUnavailable
+	}
+	return nil
+}
+
+func (b *Budget) enter(class Class) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting[class]++
+}
+
+func (b *Budget) leave(class Class) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting[class]--
+	close(b.turn)
+	b.turn = make(chan struct{})
+}
+
+// mustYield reports whether a lower class waits, and a channel that is closed when that may have changed.
+func (b *Budget) mustYield(class Class) (<-chan struct{}, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for lower := range class {
+		if b.waiting[lower] > 0 {
+			return b.turn, true
+		}
+	}
+	return b.turn, false
+}
--- /dev/null
+++ b/internal/platform/vmlist.go
@@ -0,0 +1,76 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/dghubble/sling"
+	"github.com/samber/oops"
+)
+
+// VMName names a VM in the platform's list.
+type VMName string
+
+// Region names a region.
+type Region string
+
+// FailureDomain names a failure domain.
+type FailureDomain string
+
+// VMState is a VM's state in the platform's list, which lags.
+type VMState string
+
+const (
+	// VMLive is the state of a VM in use.
+	VMLive VMState = "Live"
+	// VMLeaving is the state of a VM that will go away.
+	VMLeaving VMState = "Leaving"
+)
+
+// VM is an entry of the platform's list of VMs.
+type VM struct {
+	Name VMName
+	// Incarnation differs between a VM and its replacement under the same address.
+	Incarnation   string
+	Address       string
+	Region        Region
+	FailureDomain FailureDomain
+	// Service is the service an endpoint VM serves; it is empty for our own VMs.
+	Service string
+	// Port is the port an endpoint VM serves at.
+	Port  int
+	State VMState
+	// ChecksFence says that the endpoint refuses an order with an old fencing number.
+	ChecksFence bool
+}
+
+// VMList is a client of the platform's list of VMs.
+type VMList struct {
+	base *sling.Sling
+}
+
+// NewVMList returns a client of the list at the URL.
+func NewVMList(client *http.Client, url string) *VMList {
+	return &VMList{
+		base: sling.New().Client(client).Base(url),
+	}
+}
+
+// VMs returns the list; it may be some seconds old.
+func (l *VMList) VMs(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	req, err := l.base.New().Get("").Request()
+	if err != nil {
+		return nil, oops.In("platform").Wrap(err)
+	}
+	var vms []VM
+	response, err := l.base.New().Do(req.WithContext(ctx), &vms, nil)
+	if err != nil {
+		return nil, readError(transportError(response, err))
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, ErrUnavailable
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/internal/process/base.go
@@ -0,0 +1,263 @@
+// Package process puts together and runs the system's three kinds of process.
+package process
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/explain"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/peer"
+	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/telemetry"
+)
+
+// base is what every process has.
+type base struct {
+	settings  settings.Settings
+	log       *slog.Logger
+	table     *platform.Table
+	objects   *platform.Objects
+	follower  *document.Follower
+	store     *document.Store
+	jobs      *job.Store
+	fleet     *fleet.Fleet
+	directory *endpoint.Directory
+	peers     *peer.Pool
+	server    *peer.Server
+	status    *telemetry.Status
+	self      fleet.Member
+	notes     *explain.Recorder
+	servers   []*graceful
+}
+
+// graceful is a server that shuts down without cutting a request.
+type graceful struct {
+	server *http.Server
+	done   chan struct{}
+}
+
+// place is where a role listens.
+type place struct {
+	role       fleet.Role
+	peerPort   int
+	statusPort int
+}
+
+func newBase(s settings.Settings, log *slog.Logger, at place) (*base, error) {
+	secret, err := readSecret(s.Peers.SecretFile)
+	if err != nil {
+		return nil, err
+	}
+	log = log.With("role", at.role, "vm", s.VM.Name)
+	status, err := telemetry.NewStatus(string(at.role))
+	if err != nil {
+		return nil, err
+	}
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: platformConnections,
+			IdleConnTimeout:     time.Minute,
+		},
+	}
+	b := &base{
+		settings:  s,
+		log:       log,
+		table:     platform.NewTable(client, s.Platform.TableURL, s.Platform.Table, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
+		objects:   platform.NewObjects(client, s.Platform.ObjectsURL, s.Platform.Bucket, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
+		directory: endpoint.NewDirectory(),
+		peers:     peer.NewPool(secret),
+		server:    peer.NewServer(secret, log),
+		status:    status,
+		self: fleet.Member{
+			Role:          at.role,
+			VM:            s.VM.Name,
+			Incarnation:   uuid.NewString(),
+			Address:       s.VM.Join(at.peerPort),
+			Region:        s.VM.Region,
+			FailureDomain: s.VM.FailureDomain,
+		},
+	}
+	b.notes = explain.New(b.self.ID())
+	b.store = document.NewStore(b.table, b.objects)
+	b.follower = document.NewFollower(b.store, time.Duration(s.Timing.DocumentPoll), log)
+	b.jobs = job.NewStore(b.table, b.objects)
+	b.fleet = fleet.New(b.self, ports(s), platform.NewVMList(client, s.Platform.VMListURL), b.peers, log)
+	b.fleet.OnList(b.directory.Update)
+	if err := b.server.Register("Fleet", fleet.NewService(b.fleet)); err != nil {
+		return nil, err
+	}
+	if err := b.server.Register("Explain", explain.NewService(b.notes)); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// platformConnections is how many idle connections to the platform are kept.
+const platformConnections = 64
+
+func ports(s settings.Settings) fleet.Ports {
+	return fleet.Ports{
+		fleet.RoleGateway:    s.Ports.GatewayPeer,
+		fleet.RoleDispatcher: s.Ports.DispatcherPeer,
+		fleet.RoleController: s.Ports.ControllerPeer,
+	}
+}
+
+func readSecret(path string) (peer.Secret, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, startError(err)
+	}
+	secret := bytes.TrimSpace(data)
+	if len(secret) == 0 {
+		return nil, startError(errNoSecret)
+	}
+	return peer.Secret(secret), nil
+}
+
+// headerTimeout bounds how long a client may take to send a request's header.
+const headerTimeout = 10 * time.Second
+
+// serveHTTP adds an HTTP server for callers or operators, which drain shuts down.
+func (b *base) serveHTTP(group *run.Group, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return startError(err)
+	}
+	server := &graceful{
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+		},
+		done: make(chan struct{}),
+	}
+	b.servers = append(b.servers, server)
+	group.Add(func() error {
+		err := server.server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-server.done
+		return nil
+	}, func(error) {
+		_ = server.server.Close()
+	})
+	return nil
+}
+
+// shutdown waits until every request of the servers is answered.
+func (b *base) shutdown() {
+	for _, server := range b.servers {
+		_ = server.server.Shutdown(context.Background())
+		close(server.done)
+	}
+}
+
+// servePeers adds the net/rpc server.
+func (b *base) servePeers(group *run.Group) error {
+	listener, err := net.Listen("tcp", b.self.Address)
+	if err != nil {
+		return startError(err)
+	}
+	group.Add(func() error {
+		return b.server.Serve(listener)
+	}, func(error) {
+		_ = listener.Close()
+		b.server.Close()
+		b.peers.Close()
+	})
+	return nil
+}
+
+// serveStatus adds the server of metrics, liveness and readiness.
+func (b *base) serveStatus(group *run.Group, port int) error {
+	listener, err := net.Listen("tcp", b.settings.VM.Join(port))
+	if err != nil {
+		return startError(err)
+	}
+	server := &http.Server{
+		Handler:           b.status.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	group.Add(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) {
+		_ = server.Close()
+	})
+	return nil
+}
+
+// add adds a loop that runs until its context ends.
+func add(group *run.Group, loop func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		return loop(ctx)
+	}, func(error) {
+		cancel()
+	})
+}
+
+// drain adds the actor that ends the group: after ctx ends, readiness goes off, the balancer's lag passes,
+// and every request is answered before anything else stops.
+func (b *base) drain(ctx context.Context, group *run.Group) {
+	stopped, stop := context.WithCancel(context.Background())
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-stopped.Done():
+			b.shutdown()
+			return nil
+		}
+		b.log.Info("draining")
+		b.status.SetReady(false)
+		b.fleet.Leave()
+		timer := time.NewTimer(time.Duration(b.settings.Timing.Drain))
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-stopped.Done():
+		}
+		b.shutdown()
+		return nil
+	}, func(error) {
+		stop()
+	})
+}
+
+// common adds what every process runs.
+func (b *base) common(ctx context.Context, group *run.Group, at place) error {
+	if err := b.fleet.Refresh(ctx); err != nil {
+		b.log.Warn("vm list unreadable at start", "err", err)
+	}
+	if err := b.follower.Refresh(ctx); err != nil {
+		b.log.Warn("document unreadable at start", "err", err)
+	}
+	b.drain(ctx, group)
+	add(group, b.follower.Run)
+	add(group, func(ctx context.Context) error {
+		timing := b.settings.Timing
+		return b.fleet.Run(ctx, time.Duration(timing.VMListPoll), time.Duration(timing.Heartbeat))
+	})
+	if err := b.servePeers(group); err != nil {
+		return err
+	}
+	return b.serveStatus(group, at.statusPort)
+}
--- /dev/null
+++ b/internal/process/controller.go
@@ -0,0 +1,50 @@
+package process
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"strings"
+
+	"github.com/oklog/run"
+
+	"rhubarbrudder/internal/controller"
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/settings"
+)
+
+// RunController runs a controller until ctx ends and every request is answered.
+func RunController(ctx context.Context, s settings.Settings, log *slog.Logger) error {
+	at := place{
+		role:       fleet.RoleController,
+		peerPort:   s.Ports.ControllerPeer,
+		statusPort: s.Ports.ControllerStatus,
+	}
+	b, err := newBase(s, log, at)
+	if err != nil {
+		return err
+	}
+	token, err := os.ReadFile(s.Peers.OperatorTokenFile)
+	if err != nil {
+		return startError(err)
+	}
+	served := controller.New(controller.Parts{
+		Documents: b.follower,
+		Store:     b.store,
+		Members:   b.fleet,
+		Directory: b.directory,
+		Root:      document.Hash(strings.TrimSpace(string(token))),
+		Log:       b.log,
+	})
+	group := &run.Group{}
+	if err := b.common(ctx, group, at); err != nil {
+		return err
+	}
+	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Operator), served.Handler()); err != nil {
+		return err
+	}
+	b.status.SetReady(true)
+	b.log.Info("controller started", "address", s.VM.Join(s.Ports.Operator))
+	return group.Run()
+}
--- /dev/null
+++ b/internal/process/dispatcher.go
@@ -0,0 +1,77 @@
+package process
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/oklog/run"
+
+	"rhubarbrudder/internal/dispatcher"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/lease"
+	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/steward"
+)
+
+// releaseTimeout bounds the end of the session at shutdown.
+const releaseTimeout = 5 * time.Second
+
+// RunDispatcher runs a dispatcher until ctx ends and what it holds is handed back.
+func RunDispatcher(ctx context.Context, s settings.Settings, log *slog.Logger) error {
+	at := place{
+		role:       fleet.RoleDispatcher,
+		peerPort:   s.Ports.DispatcherPeer,
+		statusPort: s.Ports.DispatcherStatus,
+	}
+	b, err := newBase(s, log, at)
+	if err != nil {
+		return err
+	}
+	stewards := steward.New(b.directory, b.fleet, b.follower)
+	if err := b.server.Register("Steward", steward.NewService(stewards)); err != nil {
+		return err
+	}
+	sessions := lease.New(b.table, string(s.VM.Name), time.Duration(s.Timing.SessionTerm), b.log)
+	worker := dispatcher.New(dispatcher.Parts{
+		Store:    b.jobs,
+		Sessions: sessions,
+		Capacity: stewards,
+		Sender:   endpoint.NewClient(),
+		Document: b.follower,
+		Notes:    b.notes,
+		Log:      b.log,
+	})
+	sessions.OnLost(worker.SessionLost)
+	group := &run.Group{}
+	if err := b.common(ctx, group, at); err != nil {
+		return err
+	}
+	add(group, func(ctx context.Context) error {
+		return runWithSession(ctx, sessions, worker)
+	})
+	b.status.SetReady(true)
+	b.log.Info("dispatcher started")
+	return group.Run()
+}
+
+// runWithSession keeps the session until the worker has handed everything back.
+func runWithSession(ctx context.Context, sessions *lease.Sessions, worker *dispatcher.Dispatcher) error {
+	keep, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	kept := make(chan struct{})
+	go func() {
+		defer close(kept)
+		_ = sessions.Run(keep)
+	}()
+	err := worker.Run(ctx)
+	stop()
+	<-kept
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if releaseErr := sessions.Release(release); err == nil {
+		return releaseErr
+	}
+	return err
+}
--- /dev/null
+++ b/internal/request/progress.go
@@ -0,0 +1,183 @@
+package request
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+)
+
+// Progress is how much of a streamed answer has arrived, over all its attempts.
+type Progress struct {
+	Tokens  int
+	Finish  string
+	text    strings.Builder
+	prompt  int64
+	model   string
+	created int64
+}
+
+// Chunk is one event of a streamed answer.
+type Chunk struct {
+	ID     string
+	Text   string
+	Finish string
+	// Usage is true for the event that carries the usage and no choice.
+	Usage        bool
+	promptTokens int64
+	model        string
+	created      int64
+}
+
+// ParseChunk reads one event's data.
+func ParseChunk(data []byte) (Chunk, error) {
+	if !gjson.ValidBytes(data) {
+		return Chunk{}, ErrNotJSON
+	}
+	root := gjson.ParseBytes(data)
+	choice := root.Get("choices.0")
+	text := choice.Get("delta.content")
+	if !text.Exists() {
+		text = choice.Get("text")
+	}
+	return Chunk{
+		ID:           root.Get("id").String(),
+		Text:         text.String(),
+		Finish:       choice.Get("finish_reason").String(),
+		Usage:        !choice.Exists() && root.Get("usage").IsObject(),
+		promptTokens: root.Get("usage.prompt_tokens").Int(),
+		model:        root.Get("model").String(),
+		created:      root.Get("created").Int(),
+	}, nil
+}
+
+// Belongs reports whether the chunk is of the request.
+func (c Chunk) Belongs(id ID) bool {
+	return strings.HasSuffix(c.ID, string(id))
+}
+
+// Add takes a chunk in.
+func (p *Progress) Add(chunk Chunk) {
+	if chunk.Text != "" {
+		p.Tokens++
+		p.text.WriteString(chunk.Text)
+	}
+	if chunk.Finish != "" {
+		p.Finish = chunk.Finish
+	}
+	if p.created == 0 {
+		p.created = chunk.created
+		p.model = chunk.model
+	}
+	if chunk.Usage && p.prompt == 0 {
+		p.prompt = chunk.promptTokens
+	}
+}
+
+// Text returns the text that has arrived.
+func (p *Progress) Text() string {
+	return p.text.String()
+}
+
+// Saved is a progress as it is kept between attempts of a batch item.
+type Saved struct {
+	Tokens int
+	Text   string
+}
+
+// Save returns what is needed to resume.
+func (p *Progress) Save() Saved {
+	return Saved{
+		Tokens: p.Tokens,
+		Text:   p.Text(),
+	}
+}
+
+// Resume returns a progress that begins with what was saved.
+func Resume(saved Saved) *Progress {
+	progress := &Progress{
+		Tokens: saved.Tokens,
+	}
+	progress.text.WriteString(saved.Text)
+	return progress
+}
+
+type answerUsage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
+}
+
+type answerMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type answerChoice struct {
+	Index        int            `json:"index"`
+	Message      *answerMessage `json:"message,omitempty"`
+	Text         *string        `json:"text,omitempty"`
+	FinishReason string         `json:"finish_reason"`
+}
+
+type answerBody struct {
+	ID      string         `json:"id"`
+	Object  string         `json:"object"`
+	Created int64          `json:"created"`
+	Model   string         `json:"model"`
+	Choices []answerChoice `json:"choices"`
+	Usage   answerUsage    `json:"usage"`
+}
+
+func (p *Progress) usage() answerUsage {
+	return answerUsage{
+		PromptTokens:     p.prompt,
+		CompletionTokens: int64(p.Tokens),
+		TotalTokens:      p.prompt + int64(p.Tokens),
+	}
+}
+
+// WholeBody returns the finished answer as one body.
+func (p *Progress) WholeBody(r Request) ([]byte, error) {
+	text := p.Text()
+	choice := answerChoice{
+		FinishReason: p.Finish,
+	}
+	body := answerBody{
+		Created: p.created,
+		Model:   p.model,
+		Usage:   p.usage(),
+	}
+	if body.Created == 0 {
+		body.Created = time.Now().Unix()
+	}
+	if r.Shape.Chat {
+		body.ID = "chatcmpl-" + string(r.ID)
+		body.Object = "chat.completion"
+		choice.Message = &answerMessage{
+			Role:    "assistant",
+			Content: text,
+		}
+	} else {
+		body.ID = "cmpl-" + string(r.ID)
+		body.Object = "text_completion"
+		choice.Text = &text
+	}
+	body.Choices = []answerChoice{choice}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	return data, nil
+}
+
+// UsageEvent returns the usage event with the totals over all attempts.
+func (p *Progress) UsageEvent(data []byte) ([]byte, error) {
+	event, err := sjson.SetBytes(data, "usage", p.usage())
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	return event, nil
+}
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,181 @@
+// Package request holds a caller's request: its identity, its shape, and how its answer is put together.
+package request
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+
+	"rhubarbrudder/internal/document"
+)
+
+// ID names a request from end to end.
+type ID string
+
+// NewID returns an unused id.
+func NewID() ID {
+	return ID(uuid.Must(uuid.NewV7()).String())
+}
+
+// Class says whether a request is online or part of a batch job.
+type Class string
+
+const (
+	// ClassOnline is for requests whose caller waits.
+	ClassOnline Class = "Online"
+	// ClassBatch is for items of batch jobs.
+	ClassBatch Class = "Batch"
+)
+
+// Request is one request to a service.
+type Request struct {
+	ID           ID
+	Organisation document.OrganisationID
+	Service      document.ServiceName
+	Class        Class
+	Method       string
+	// Path is the path at the endpoint, with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Shape is what a model engine's request asks for; it is zero for plain services.
+	Shape Shape
+	// Idempotent says that the request may be sent again after it may have run.
+	Idempotent bool
+	Deadline   time.Time
+}
+
+// Shape is what the system has to know of a completion request's body.
+type Shape struct {
+	Engine bool
+	Chat   bool
+	Model  document.ModelName
+	Stream bool
+	// Usage says that the caller asked for usage at the end of the stream.
+	Usage bool
+	// Resumable says that a broken answer can be continued on another endpoint.
+	Resumable bool
+	// Tokens is the most tokens the answer may have, or zero if the request names none.
+	Tokens int
+	// PrefixKey is the beginning of the prompt, by which requests share cached prefixes.
+	PrefixKey string
+}
+
+// prefixBytes is how much of a prompt decides its prefix affinity.
+const prefixBytes = 256
+
+// ParseShape reads a completion request's body; the path tells chats from text completions.
+func ParseShape(path string, body []byte) (Shape, error) {
+	if !gjson.ValidBytes(body) {
+		return Shape{}, ErrNotJSON
+	}
+	root := gjson.ParseBytes(body)
+	shape := Shape{
+		Engine: true,
+		Chat:   strings.HasSuffix(path, "/chat/completions"),
+		Model:  document.ModelName(root.Get("model").String()),
+		Stream: root.Get("stream").Bool(),
+		Usage:  root.Get("stream_options.include_usage").Bool(),
+		Tokens: tokens(root),
+	}
+	if shape.Model == "" {
+		return Shape{}, ErrNoModel
+	}
+	prompt := root.Get("prompt")
+	if shape.Chat {
+		prompt = root.Get("messages")
+		if !prompt.IsArray() || len(prompt.Array()) == 0 {
+			return Shape{}, ErrNoMessages
+		}
+	} else if prompt.Type != gjson.String {
+		return Shape{}, ErrNoPrompt
+	}
+	shape.PrefixKey = prompt.Raw[:min(len(prompt.Raw), prefixBytes)]
+	shape.Resumable = resumable(root)
+	return shape, nil
+}
+
+func tokens(root gjson.Result) int {
+	for _, field := range []string{"max_completion_tokens", "max_tokens"} {
+		if value := root.Get(field); value.Exists() {
+			return int(value.Int())
+		}
+	}
+	return 0
+}
+
+// resumable tells whether the answer is one text that grows at its end.
+func resumable(root gjson.Result) bool {
+	if n := root.Get("n"); n.Exists() && n.Int() != 1 {
+		return false
+	}
+	for _, field := range []string{"tools", "functions", "logprobs", "response_format", "best_of", "echo", "suffix"} {
+		if value := root.Get(field); value.Exists() && value.Type != gjson.Null && value.Type != gjson.False {
+			return false
+		}
+	}
+	return true
+}
+
+// EndpointBody returns the body to send: streamed with usage where the answer can be resumed.
+func (r Request) EndpointBody(progress *Progress) ([]byte, error) {
+	if !r.Shape.Engine || !r.Shape.Resumable {
+		return r.Body, nil
+	}
+	body, err := sjson.SetBytes(r.Body, "stream", true)
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	body, err = sjson.SetRawBytes(body, "stream_options", []byte(`{"include_usage":true}`))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	if progress == nil || progress.Tokens == 0 {
+		return body, nil
+	}
+	return r.resumeBody(body, progress)
+}
+
+// resumeBody continues the answer where the progress ends.
+func (r Request) resumeBody(body []byte, progress *Progress) ([]byte, error) {
+	var err error
+	if r.Shape.Chat {
+		message := map[string]string{
+			"role":    "assistant",
+			"content": progress.Text(),
+		}
+		body, err = sjson.SetBytes(body, "messages.-1", message)
+		if err == nil {
+			body, err = sjson.SetBytes(body, "continue_final_message", true)
+		}
+		if err == nil {
+			body, err = sjson.SetBytes(body, "add_generation_prompt", false)
+		}
+	} else {
+		prompt := gjson.GetBytes(body, "prompt").String() + progress.Text()
+		body, err = sjson.SetBytes(body, "prompt", prompt)
+	}
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	return r.withRemainingTokens(body, progress.Tokens)
+}
+
+func (r Request) withRemainingTokens(body []byte, done int) ([]byte, error) {
+	var err error
+	for _, field := range []string{"max_completion_tokens", "max_tokens"} {
+		value := gjson.GetBytes(body, field)
+		if !value.Exists() {
+			continue
+		}
+		body, err = sjson.SetBytes(body, field, max(1, int(value.Int())-done))
+		if err != nil {
+			return nil, bodyError(err)
+		}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/standin/generation.go
@@ -0,0 +1,154 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+type generation struct {
+	request completionRequest
+	prompt  string
+	done    int
+	run     *Run
+	chat    bool
+	id      string
+}
+
+// crashTokens is after how many tokens a crashing prompt drops its connection.
+const crashTokens = 2
+
+// slowFactor is how much longer a slow prompt's tokens take.
+const slowFactor = 10
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request, g generation) {
+	words := len(strings.Fields(g.prompt)) + g.done
+	cached := e.cache.use(g.prompt)
+	if !sleep(r.Context(), time.Duration(words-min(words, cached))*e.options.PrefillPerWord) {
+		return
+	}
+	out := &answerWriter{
+		w:          w,
+		generation: g,
+	}
+	for i := range g.request.tokens() {
+		if !sleep(r.Context(), e.tokenInterval(g.prompt)) {
+			return
+		}
+		if strings.Contains(g.prompt, CrashMark) && i == crashTokens {
+			dropConnection()
+		}
+		g.run.token()
+		out.token(Token(g.prompt, g.done+i), i)
+	}
+	out.finish(g.request.tokens())
+	g.run.finished()
+}
+
+func (e *Engine) tokenInterval(prompt string) time.Duration {
+	running, _ := e.slots.counts()
+	share := float64(running) / float64(e.options.Slots)
+	interval := time.Duration(float64(e.options.TokenInterval) * (1 + e.options.FullBatchSlowdown*share))
+	if strings.Contains(prompt, SlowMark) {
+		interval *= slowFactor
+	}
+	return interval
+}
+
+// answerWriter writes an answer as one body or as a stream of events.
+type answerWriter struct {
+	w          http.ResponseWriter
+	generation generation
+	text       strings.Builder
+}
+
+func (a *answerWriter) token(token string, index int) {
+	if index == 0 && !a.generation.chat && a.generation.done == 0 {
+		token = answerMark + token
+	}
+	a.text.WriteString(token)
+	if !a.generation.request.Stream {
+		return
+	}
+	if index == 0 {
+		a.w.Header().Set("Content-Type", "text/event-stream")
+	}
+	a.event(token, "")
+}
+
+func (a *answerWriter) event(token, finish string) {
+	_, _ = fmt.Fprintf(a.w, "data: %s\n\n", a.chunk(token, finish))
+	if flusher, ok := a.w.(http.Flusher); ok {
+		flusher.Flush()
+	}
+}
+
+func (a *answerWriter) chunk(token, finish string) []byte {
+	choice := map[string]any{"index": 0, "finish_reason": nil}
+	if finish != "" {
+		choice["finish_reason"] = finish
+	}
+	object := "text_completion"
+	if a.generation.chat {
+		object = "chat.completion.chunk"
+		delta := map[string]any{}
+		if token != "" {
+			delta["content"] = token
+		}
+		choice["delta"] = delta
+	} else {
+		choice["text"] = token
+	}
+	data, err := json.Marshal(a.body(object, choice))
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (a *answerWriter) body(object string, choice map[string]any) map[string]any {
+	prefix := "cmpl-"
+	if a.generation.chat {
+		prefix = "chatcmpl-"
+	}
+	return map[string]any{
+		"id":      prefix + a.generation.id,
+		"object":  object,
+		"created": time.Now().Unix(),
+		"model":   a.generation.request.Model,
+		"choices": []any{choice},
+	}
+}
+
+func (a *answerWriter) finish(tokens int) {
+	usage := map[string]any{
+		"prompt_tokens":     len(strings.Fields(a.generation.prompt)),
+		"completion_tokens": tokens,
+		"total_tokens":      len(strings.Fields(a.generation.prompt)) + tokens,
+	}
+	if a.generation.request.Stream {
+		a.event("", "length")
+		final := a.body("chat.completion.chunk", nil)
+		final["choices"] = []any{}
+		final["usage"] = usage
+		data, err := json.Marshal(final)
+		if err != nil {
+			panic(err)
+		}
+		_, _ = fmt.Fprintf(a.w, "data: %s\n\ndata: [DONE]\n\n", data)
+		return
+	}
+	choice := map[string]any{"index": 0, "finish_reason": "length"}
+	object := "text_completion"
+	if a.generation.chat {
+		object = "chat.completion"
+		choice["message"] = map[string]any{"role": "assistant", "content": a.text.String()}
+	} else {
+		choice["text"] = a.text.String()
+	}
+	body := a.body(object, choice)
+	body["usage"] = usage
+	writeJSON(a.w, http.StatusOK, body)
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"rhubarbrudder/internal/endpoint"
+)
+
+// Plain plays a plain service: every request is an effect, kept in its record.
+type Plain struct {
+	Delay  time.Duration
+	Record *Record
+}
+
+// NewPlain returns a service whose calls take the delay.
+func NewPlain(delay time.Duration) *Plain {
+	return &Plain{
+		Delay:  delay,
+		Record: NewRecord(),
+	}
+}
+
+// PlainAnswer is the answer of a plain service.
+type PlainAnswer struct {
+	RequestID string
+	Path      string
+	Body      string
+}
+
+// Handler returns the service's HTTP handler.
+func (p *Plain) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /record", p.Record)
+	mux.HandleFunc("/", p.serve)
+	return mux
+}
+
+func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		dropConnection()
+	}
+	run := p.Record.start(r, 0)
+	defer run.end(r)
+	if !sleep(r.Context(), p.Delay) {
+		return
+	}
+	run.finished()
+	w.Header().Set(endpoint.HeaderRequestID, r.Header.Get(endpoint.HeaderRequestID))
+	writeJSON(w, http.StatusOK, PlainAnswer{
+		RequestID: r.Header.Get(endpoint.HeaderRequestID),
+		Path:      r.URL.Path,
+		Body:      string(body),
+	})
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"rhubarbrudder/internal/platform"
+)
+
+// Platform plays the table service, the object store and the VM list behind one handler:
+// /table, /objects and /vms, with faults at /faults/table, /faults/objects and /faults/vms
+// and counts at /stats.
+type Platform struct {
+	Table   *Table
+	Objects *Objects
+	VMs     *VMList
+}
+
+// NewPlatform returns an empty platform; seed drives its faults and lag is that of the VM list.
+func NewPlatform(seed uint64, lag time.Duration) *Platform {
+	return &Platform{
+		Table:   NewTable(NewFaults(seed)),
+		Objects: NewObjects(NewFaults(seed + 1)),
+		VMs:     NewVMList(NewFaults(seed+2), lag),
+	}
+}
+
+// PlatformStats counts what the platform did.
+type PlatformStats struct {
+	Table   TableStats
+	Objects ObjectStats
+}
+
+// Stats returns the counts.
+func (p *Platform) Stats() PlatformStats {
+	return PlatformStats{
+		Table:   p.Table.Stats(),
+		Objects: p.Objects.Stats(),
+	}
+}
+
+// Handler returns the platform's HTTP handler.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", p.Table.Faults.wrap(p.Table))
+	mux.Handle("/objects/", p.Objects.Faults.wrap(p.Objects))
+	mux.Handle("/objects", p.Objects.Faults.wrap(p.Objects))
+	mux.Handle("GET /vms", p.VMs.faults.wrap(p.VMs))
+	mux.HandleFunc("PUT /vms", p.VMs.servePut)
+	mux.Handle("PUT /faults/table", p.Table.Faults)
+	mux.Handle("PUT /faults/objects", p.Objects.Faults)
+	mux.Handle("PUT /faults/vms", p.VMs.faults)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.Stats())
+	})
+	mux.HandleFunc("GET /rows", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, p.Table.Rows(r.URL.Query().Get("prefix")))
+	})
+	return mux
+}
+
+// VMList is a list of VMs whose readers see changes late.
+type VMList struct {
+	mu     sync.Mutex
+	lag    time.Duration
+	past   []vmListState
+	faults *Faults
+}
+
+type vmListState struct {
+	since time.Time
+	vms   []platform.VM
+}
+
+// NewVMList returns an empty list with the lag.
+func NewVMList(faults *Faults, lag time.Duration) *VMList {
+	return &VMList{
+		lag:    lag,
+		faults: faults,
+	}
+}
+
+// Set replaces the list; the first list is visible at once.
+func (l *VMList) Set(vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := time.Now()
+	if len(l.past) > 0 {
+		since = since.Add(l.lag)
+	}
+	l.past = append(l.past, vmListState{
+		since: since,
+		vms:   vms,
+	})
+}
+
+func (l *VMList) visible() []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.past) - 1; i >= 0; i-- {
+		if !l.past[i].since.After(time.Now()) {
+			return l.past[i].vms
+		}
+	}
+	return nil
+}
+
+// ServeHTTP answers with the list as it was a lag ago.
+func (l *VMList) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, l.visible())
+}
+
+func (l *VMList) servePut(w http.ResponseWriter, r *http.Request) {
+	var vms []platform.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Set(vms)
+}
--- /dev/null
+++ b/internal/standin/record.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"rhubarbrudder/internal/endpoint"
+)
+
+// Run is one request as a stand-in saw it; times are of the stand-in's clock.
+type Run struct {
+	record    *Record
+	RequestID string
+	Class     string
+	Path      string
+	Started   time.Time
+	Ended     time.Time
+	Resumed   int
+	Tokens    int
+	Finished  bool
+	Cancelled bool
+}
+
+// Record keeps every request that reached a stand-in.
+type Record struct {
+	mu   sync.Mutex
+	runs []*Run
+}
+
+// NewRecord returns an empty record.
+func NewRecord() *Record {
+	return &Record{}
+}
+
+func (c *Record) start(r *http.Request, resumed int) *Run {
+	run := &Run{
+		record:    c,
+		RequestID: r.Header.Get(endpoint.HeaderRequestID),
+		Class:     r.Header.Get(endpoint.HeaderClass),
+		Path:      r.URL.Path,
+		Started:   time.Now(),
+		Resumed:   resumed,
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs = append(c.runs, run)
+	return run
+}
+
+func (u *Run) token() {
+	u.record.mu.Lock()
+	defer u.record.mu.Unlock()
+	u.Tokens++
+}
+
+func (u *Run) finished() {
+	u.record.mu.Lock()
+	defer u.record.mu.Unlock()
+	u.Finished = true
+}
+
+func (u *Run) end(r *http.Request) {
+	u.record.mu.Lock()
+	defer u.record.mu.Unlock()
+	u.Ended = time.Now()
+	u.Cancelled = !u.Finished && r.Context().Err() != nil
+}
+
+// Runs returns copies of all runs in order of their start.
+func (c *Record) Runs() []Run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := make([]Run, 0, len(c.runs))
+	for _, run := range c.runs {
+		runs = append(runs, *run)
+	}
+	return runs
+}
+
+// ServeHTTP answers with all runs.
+func (c *Record) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, c.Runs())
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,274 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"rhubarbrudder/internal/platform"
+)
+
+// Table is a transactional table service in memory.
+type Table struct {
+	mu         sync.Mutex
+	partitions map[string]*partition
+	writes     int64
+	reads      int64
+	txns       int64
+	Faults     *Faults
+}
+
+type partition struct {
+	items map[string]platform.Item
+	sorts []string
+}
+
+// TableStats counts what a table service did.
+type TableStats struct {
+	Writes int64
+	Reads  int64
+	Txns   int64
+}
+
+// NewTable returns an empty table service.
+func NewTable(faults *Faults) *Table {
+	return &Table{
+		partitions: map[string]*partition{},
+		Faults:     faults,
+	}
+}
+
+// Stats returns how many rows were written and read.
+func (t *Table) Stats() TableStats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TableStats{
+		Writes: t.writes,
+		Reads:  t.reads,
+		Txns:   t.txns,
+	}
+}
+
+// Rows returns the rows of every partition that begins with the prefix, for checkers.
+func (t *Table) Rows(prefix string) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for name, part := range t.partitions {
+		if !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		for _, sort := range part.sorts {
+			item := part.items[sort]
+			rows = append(rows, platform.Row{
+				Key:     platform.ItemKey(item),
+				Version: platform.ItemVersion(item),
+				Data:    item["Data"].B,
+			})
+		}
+	}
+	return rows
+}
+
+// ServeHTTP answers one operation of DynamoDB's JSON protocol.
+func (t *Table) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	operation := strings.TrimPrefix(r.Header.Get(platform.TargetHeader), platform.TargetPrefix)
+	switch operation {
+	case "GetItem":
+		t.serveGet(w, r)
+	case "Query":
+		t.serveQuery(w, r)
+	case "TransactWriteItems":
+		t.serveTransact(w, r)
+	default:
+		writeJSON(w, http.StatusBadRequest, platform.WireError{
+			Type:    "UnknownOperationException",
+			Message: operation,
+		})
+	}
+}
+
+func (t *Table) serveGet(w http.ResponseWriter, r *http.Request) {
+	var in platform.GetItem
+	if !decode(w, r, &in) {
+		return
+	}
+	t.mu.Lock()
+	t.reads++
+	item := t.item(platform.ItemKey(in.Key))
+	t.mu.Unlock()
+	writeJSON(w, http.StatusOK, platform.GetItemOutput{
+		Item: item,
+	})
+}
+
+func (t *Table) serveQuery(w http.ResponseWriter, r *http.Request) {
+	var in platform.Query
+	if !decode(w, r, &in) {
+		return
+	}
+	t.mu.Lock()
+	items := t.query(in)
+	t.reads += int64(1 + len(items)/readRows)
+	t.mu.Unlock()
+	writeJSON(w, http.StatusOK, platform.QueryOutput{
+		Items: items,
+	})
+}
+
+// readRows is how many small rows of a query count as one read.
+const readRows = 100
+
+func (t *Table) query(in platform.Query) []platform.Item {
+	part := t.partitions[in.ExpressionAttributeValues.Text(":p")]
+	if part == nil {
+		return nil
+	}
+	after := in.ExpressionAttributeValues.Text(":s")
+	start, found := slices.BinarySearch(part.sorts, after)
+	if found {
+		start++
+	}
+	var items []platform.Item
+	for _, sort := range part.sorts[start:] {
+		if len(items) == in.Limit {
+			break
+		}
+		if item := part.items[sort]; !expired(item) {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+func (t *Table) serveTransact(w http.ResponseWriter, r *http.Request) {
+	var in platform.TransactWriteItems
+	if !decode(w, r, &in) {
+		return
+	}
+	if len(in.TransactItems) > platform.MaxWrites {
+		writeJSON(w, http.StatusBadRequest, platform.WireError{
+			Type:    "ValidationException",
+			Message: "too many items",
+		})
+		return
+	}
+	kind, failure := t.apply(in)
+	if t.Faults.loseAnswer(kind) {
+		dropConnection()
+	}
+	if failure != nil {
+		writeJSON(w, http.StatusBadRequest, failure)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// apply returns the first row's partition, and the error if a condition failed.
+func (t *Table) apply(in platform.TransactWriteItems) (string, *platform.WireError) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.txns++
+	kind := ""
+	failed := false
+	reasons := make([]platform.CancellationReason, len(in.TransactItems))
+	for i, action := range in.TransactItems {
+		write, key := actionWrite(action)
+		if kind == "" {
+			kind = key.Partition
+		}
+		t.writes++
+		reasons[i].Code = "None"
+		if !t.holds(write, key) {
+			reasons[i].Code = "ConditionalCheckFailed"
+			failed = true
+		}
+	}
+	if failed {
+		return kind, &platform.WireError{
+			Type:                "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
+			Message:             "Transaction cancelled",
+			CancellationReasons: reasons,
+		}
+	}
+	for _, action := range in.TransactItems {
+		t.store(action)
+	}
+	return kind, nil
+}
+
+func actionWrite(action platform.WireAction) (*platform.WireWrite, platform.Key) {
+	switch {
+	case action.Put != nil:
+		return action.Put, platform.ItemKey(action.Put.Item)
+	case action.Delete != nil:
+		return action.Delete, platform.ItemKey(action.Delete.Key)
+	default:
+		return action.ConditionCheck, platform.ItemKey(action.ConditionCheck.Key)
+	}
+}
+
+func (t *Table) holds(write *platform.WireWrite, key platform.Key) bool {
+	item := t.item(key)
+	switch write.ConditionExpression {
+	case "":
+		return true
+	case platform.ConditionAbsent:
+		return item == nil
+	default:
+		return item != nil && item.Number("Version") == write.ExpressionAttributeValues.Number(":v")
+	}
+}
+
+func (t *Table) store(action platform.WireAction) {
+	write, key := actionWrite(action)
+	part := t.partitions[key.Partition]
+	if part == nil {
+		part = &partition{
+			items: map[string]platform.Item{},
+		}
+		t.partitions[key.Partition] = part
+	}
+	at, found := slices.BinarySearch(part.sorts, key.Sort)
+	switch {
+	case action.Put != nil:
+		if !found {
+			part.sorts = slices.Insert(part.sorts, at, key.Sort)
+		}
+		part.items[key.Sort] = write.Item
+	case action.Delete != nil && found:
+		part.sorts = slices.Delete(part.sorts, at, at+1)
+		delete(part.items, key.Sort)
+	}
+}
+
+func (t *Table) item(key platform.Key) platform.Item {
+	part := t.partitions[key.Partition]
+	if part == nil {
+		return nil
+	}
+	item := part.items[key.Sort]
+	if expired(item) {
+		return nil
+	}
+	return item
+}
+
+func expired(item platform.Item) bool {
+	at := platform.ItemExpires(item)
+	return at > 0 && at < time.Now().Unix()
+}
+
+func decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	if err := json.NewDecoder(r.Body).Decode(value); err != nil {
+		writeJSON(w, http.StatusBadRequest, platform.WireError{
+			Type:    "SerializationException",
+			Message: err.Error(),
+		})
+		return false
+	}
+	return true
+}
