Document: incremental views, sure acceptance, spread among peers

Cause: each change decoded every entry anew; a lost answer was given to the editor as unknown; processes learnt of a change only by their own poll, and a process cut off from everything went on serving an old revision.

- View.With decodes only the entries that a change names.
Ruled out for now: sharded maps, which would change the type that others read.
- Accept resends the same transaction after a lost answer: the head's version lets it apply once, and a conflict says it never will, so the id can be read.
An id used with another request is refused; other sections' changes are retried past.
A confirmation is taken over from replies only, aged from before the question on the asker's monotonic clock.
- Gateway and readiness ask Follower.Fresh.
In an outage a process goes on if it hears most VMs; a controller that does not hear most VMs accepts nothing.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,12 +5,12 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
-	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"time"
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
@@ -20,19 +20,21 @@
 // Documents is the document in force.
 type Documents interface {
 	View() *document.View
-	Advance(doc document.Document)
+	Accepted(ctx context.Context, view *document.View, change document.Change)
 	Refresh(ctx context.Context) error
 }
 
 // Store accepts changes.
 type Store interface {
-	Accept(ctx context.Context, doc document.Document, change document.Change) (document.Document, document.Change, error)
+	AcceptOn(ctx context.Context, view *document.View, change document.Change) (*document.View, document.Change, error)
+	Snapshot(ctx context.Context, doc document.Document) error
 	Changes(ctx context.Context, after document.Revision, limit int) ([]document.Change, error)
 }
 
 // Members lists the processes alive.
 type Members interface {
 	Alive(role fleet.Role) []fleet.Member
+	Majority(within time.Duration) bool
 }
 
 // Directory lists the endpoints that take new work.
@@ -40,14 +42,21 @@
 	Serving(service document.ServiceName) []endpoint.Endpoint
 }
 
+// Caller calls a method of a peer.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
 // Controller serves operators.
 type Controller struct {
 	documents Documents
 	store     Store
 	members   Members
 	directory Directory
+	caller    Caller
 	root      document.Hash
 	log       *slog.Logger
+	snapshots sync.WaitGroup
 }
 
 // Parts is what a controller depends on.
@@ -56,6 +65,7 @@
 	Store     Store
 	Members   Members
 	Directory Directory
+	Caller    Caller
 	// Root is the hash of the token that may change every section.
 	Root document.Hash
 	Log  *slog.Logger
@@ -68,6 +78,7 @@
 		store:     parts.Store,
 		members:   parts.Members,
 		directory: parts.Directory,
+		caller:    parts.Caller,
 		root:      parts.Root,
 		log:       parts.Log,
 	}
@@ -79,26 +90,11 @@
 	mux.HandleFunc("GET /document/{section}", c.as(c.serveSection))
 	mux.HandleFunc("PUT /document/{section}", c.as(c.servePut))
 	mux.HandleFunc("GET /history", c.as(c.serveHistory))
+	mux.HandleFunc("GET /status", c.as(c.serveStatus))
 	mux.HandleFunc("GET /fleet", c.as(c.serveFleet))
 	return mux
 }
 
-// Failure is an error as operators are told it.
-type Failure struct {
-	Code    string
-	Message string
-	// Current is the section in force, for an editor who lost a race.
-	Current *SectionBody `json:",omitempty"`
-}
-
-// SectionBody is a section and the version it has.
-type SectionBody struct {
-	Name     document.SectionName
-	Version  document.SectionVersion
-	Revision document.Revision
-	Entries  map[document.EntryName]json.RawMessage
-}
-
 // as refuses operators without a token that owns something.
 func (c *Controller) as(serve func(w http.ResponseWriter, r *http.Request, token document.Hash)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -136,107 +132,6 @@
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
 
-func (c *Controller) section(name document.SectionName) SectionBody {
-	doc := c.documents.View().Document()
-	return SectionBody{
-		Name:     name,
-		Version:  doc.Versions[name],
-		Revision: doc.Revision,
-		Entries:  doc.Sections[name].Entries,
-	}
-}
-
-func (c *Controller) serveSection(w http.ResponseWriter, r *http.Request, _ document.Hash) {
-	body := c.section(document.SectionName(r.PathValue("section")))
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatInt(int64(body.Version), 10)))
-	writeJSON(w, http.StatusOK, body)
-}
-
-// maxSectionBytes bounds a section as it is put.
-const maxSectionBytes = 64 << 20
-
-// headerChangeID carries the id of a change, chosen by the editor.
-const headerChangeID = "Idempotency-Key"
-
-func (c *Controller) servePut(w http.ResponseWriter, r *http.Request, token document.Hash) {
-	name := document.SectionName(r.PathValue("section"))
-	if !c.owns(token, name) {
-		c.fail(w, name, document.ErrForbidden)
-		return
-	}
-	change, err := c.change(r, name)
-	if err != nil {
-		c.fail(w, name, err)
-		return
-	}
-	change.Author = string(token[:8])
-	doc, accepted, err := c.store.Accept(r.Context(), c.documents.View().Document(), change)
-	if err != nil {
-		c.fail(w, name, err)
-		return
-	}
-	c.documents.Advance(doc)
-	c.log.Info("change accepted", "change", accepted.ID, "section", name, "revision", accepted.Revision)
-	writeJSON(w, http.StatusOK, accepted)
-}
-
-// change returns the difference between the section in force and the one in the request's body.
-func (c *Controller) change(r *http.Request, name document.SectionName) (document.Change, error) {
-	base, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
-	if err != nil {
-		return document.Change{}, errIfMatch
-	}
-	id := r.Header.Get(headerChangeID)
-	if id == "" {
-		return document.Change{}, errChangeID
-	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxSectionBytes))
-	if err != nil {
-		return document.Change{}, err
-	}
-	var wanted document.Section
-	if err := json.Unmarshal(data, &wanted); err != nil {
-		return document.Change{}, errors.Join(document.ErrInvalid, err)
-	}
-	if err := c.documents.Refresh(r.Context()); err != nil {
-		return document.Change{}, err
-	}
-	change := document.Difference(c.documents.View().Document().Sections[name], wanted)
-	change.ID = id
-	change.Section = name
-	change.Base = document.SectionVersion(base)
-	return change, nil
-}
-
-var (
-	errIfMatch  = errors.New("controller: If-Match must hold the version of the section that was changed")
-	errChangeID = errors.New("controller: Idempotency-Key must hold an id for the change")
-)
-
-func (c *Controller) fail(w http.ResponseWriter, name document.SectionName, err error) {
-	failure := Failure{
-		Code:    "Internal",
-		Message: err.Error(),
-	}
-	status := http.StatusInternalServerError
-	switch {
-	case errors.Is(err, document.ErrForbidden):
-		status, failure.Code = http.StatusForbidden, "Forbidden"
-	case errors.Is(err, document.ErrStale):
-		status, failure.Code = http.StatusPreconditionFailed, "Stale"
-		current := c.section(name)
-		failure.Current = &current
-	case errors.Is(err, document.ErrInvalid), errors.Is(err, errIfMatch), errors.Is(err, errChangeID):
-		status, failure.Code = http.StatusUnprocessableEntity, "Invalid"
-	case errors.Is(err, document.ErrUnknown):
-		status, failure.Code = http.StatusGatewayTimeout, "OutcomeUnknown"
-	case errors.Is(err, document.ErrUnavailable):
-		status, failure.Code = http.StatusServiceUnavailable, "Unavailable"
-	}
-	c.log.Info("change refused", "section", name, "code", failure.Code, "err", err)
-	writeJSON(w, status, failure)
-}
-
 func (c *Controller) serveHistory(w http.ResponseWriter, r *http.Request, _ document.Hash) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
--- a/internal/document/apply.go
+++ b/internal/document/apply.go
@@ -7,34 +7,50 @@
 	"slices"
 )
 
-// Apply returns the document with the change, which must follow the document's revision. The receiver stays as it is.
-func (d Document) Apply(change Change) (Document, error) {
-	if change.Revision != d.Revision+1 {
-		return d, ErrGap
-	}
+// Apply returns the document with the changes, which must follow its revision in order. The receiver stays as it is.
+func (d Document) Apply(changes ...Change) (Document, error) {
 	next := Document{
-		Revision: change.Revision,
+		Revision: d.Revision,
 		Versions: maps.Clone(d.Versions),
 		Sections: maps.Clone(d.Sections),
 	}
-	next.Versions[change.Section]++
-	section := d.Sections[change.Section]
-	section.Entries = maps.Clone(section.Entries)
-	if section.Entries == nil {
-		section.Entries = map[EntryName]json.RawMessage{}
+	copied := map[SectionName]bool{}
+	for _, change := range changes {
+		if change.Revision != next.Revision+1 {
+			return d, ErrGap
+		}
+		section := next.Sections[change.Section]
+		if !copied[change.Section] {
+			section.Entries = cloneEntries(section.Entries)
+			copied[change.Section] = true
+		}
+		next.Revision = change.Revision
+		next.Versions[change.Section]++
+		next.Sections[change.Section] = section.with(change)
+	}
+	return next, nil
+}
+
+func cloneEntries(entries map[EntryName]json.RawMessage) map[EntryName]json.RawMessage {
+	if entries == nil {
+		return map[EntryName]json.RawMessage{}
 	}
+	return maps.Clone(entries)
+}
+
+// with applies the change to the section's own entries.
+func (s Section) with(change Change) Section {
 	if change.Owners != nil {
-		section.Owners = change.Owners
+		s.Owners = change.Owners
 	}
-	maps.Copy(section.Entries, change.Set)
+	maps.Copy(s.Entries, change.Set)
 	for _, name := range change.Remove {
-		delete(section.Entries, name)
+		delete(s.Entries, name)
 	}
-	next.Sections[change.Section] = section
-	return next, nil
+	return s
 }
 
-// Difference returns the change that turns the section into the wanted one.
+// Difference returns the change that turns the section into the wanted one; absent owners stay as they are.
 func Difference(current, wanted Section) Change {
 	change := Change{
 		Set: map[EntryName]json.RawMessage{},
@@ -62,9 +78,62 @@
 }
 
 func sameJSON(a, b json.RawMessage) bool {
+	if bytes.Equal(a, b) {
+		return true
+	}
 	var left, right bytes.Buffer
 	if json.Compact(&left, a) != nil || json.Compact(&right, b) != nil {
 		return false
 	}
 	return bytes.Equal(left.Bytes(), right.Bytes())
 }
+
+// names returns the names of the entries that the change sets or removes.
+func (c Change) names() map[EntryName]bool {
+	names := map[EntryName]bool{}
+	for name := range c.Set {
+		names[name] = true
+	}
+	for _, name := range c.Remove {
+		names[name] = true
+	}
+	return names
+}
+
+// ThreeWay is how two editors changed a section from the same version.
+type ThreeWay struct {
+	// Theirs is what was accepted since the version, Mine what the refused editor wanted to change.
+	Theirs Change
+	Mine   Change
+	// Both are the entries that both changed, in order.
+	Both []EntryName
+}
+
+// Compare returns the three-way difference between the section in force, what was accepted since the editor's version,
+// oldest first, and the section that the editor wanted.
+func Compare(current Section, since []Change, wanted Section) ThreeWay {
+	base := Section{
+		Owners:  wanted.Owners,
+		Entries: cloneEntries(current.Entries),
+	}
+	for _, change := range slices.Backward(since) {
+		for name := range change.names() {
+			delete(base.Entries, name)
+		}
+		maps.Copy(base.Entries, change.Before)
+	}
+	result := ThreeWay{
+		Theirs: Difference(base, Section{
+			Entries: current.Entries,
+		}),
+		Mine: Difference(base, wanted),
+	}
+	mine := result.Mine.names()
+	for name := range result.Theirs.names() {
+		if mine[name] {
+			result.Both = append(result.Both, name)
+		}
+	}
+	slices.Sort(result.Both)
+	return result
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -177,6 +177,10 @@
 	Owners []Hash
 	Set    map[EntryName]json.RawMessage
 	Remove []EntryName
+	// Before holds what the entries set or removed were, so that a change can be undone and compared.
+	Before map[EntryName]json.RawMessage `json:",omitempty"`
+	// Request is the hash of what the editor sent, so that an id used for something else is known.
+	Request Hash
 	// Revision is given at acceptance.
 	Revision Revision
 	Author   string
--- a/internal/document/errors.go
+++ b/internal/document/errors.go
@@ -13,6 +13,10 @@
 	ErrUnavailable = errors.New("document: store unavailable, not accepted")
 	// ErrUnknown means the change may have been accepted; ask again with the same id.
 	ErrUnknown = errors.New("document: outcome unknown")
+	// ErrReused means the change's id was accepted with another request.
+	ErrReused = errors.New("document: change id used for another change")
+	// ErrContended means other changes came first at each attempt; nothing was accepted.
+	ErrContended = errors.New("document: too many changes at once, not accepted")
 	// ErrGap means a change does not follow the revision held.
 	ErrGap = errors.New("document: revision gap")
 )
--- /dev/null
+++ b/internal/document/store_test.go
@@ -0,0 +1,199 @@
+package document_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/standin"
+)
+
+func newStore(t *testing.T) (*document.Store, *standin.Platform) {
+	t.Helper()
+	played := standin.NewPlatform(1, 0)
+	server := httptest.NewServer(played.Handler())
+	t.Cleanup(server.Close)
+	return storeAt(server.URL), played
+}
+
+func storeAt(url string) *document.Store {
+	return document.NewStore(
+		platform.NewTable(http.DefaultClient, url, "rhubarbrudder", nil),
+		platform.NewObjects(http.DefaultClient, url, "objects", nil),
+	)
+}
+
+func modelChange(id string, base document.SectionVersion, version string) document.Change {
+	return document.Change{
+		ID:      id,
+		Section: document.Models,
+		Base:    base,
+		Request: document.HashOf(version),
+		Set: map[document.EntryName]json.RawMessage{
+			"beacon-7b": json.RawMessage(fmt.Sprintf(`{"Version":%q}`, version)),
+		},
+	}
+}
+
+func TestAccept(t *testing.T) {
+	ctx := context.Background()
+	cases := map[string]struct {
+		change document.Change
+		fault  standin.Fault
+		want   error
+		// revision is that of the document after the second change.
+		revision document.Revision
+	}{
+		"second editor": {
+			change:   modelChange("two", 0, "2"),
+			want:     document.ErrStale,
+			revision: 1,
+		},
+		"resend": {
+			change:   modelChange("one", 0, "1"),
+			revision: 1,
+		},
+		"id of another change": {
+			change:   modelChange("one", 0, "2"),
+			want:     document.ErrReused,
+			revision: 1,
+		},
+		"invalid entry": {
+			change:   modelChange("two", 1, ""),
+			want:     document.ErrInvalid,
+			revision: 1,
+		},
+		"section that does not exist": {
+			change: document.Change{
+				ID:      "two",
+				Section: "Other",
+			},
+			want:     document.ErrInvalid,
+			revision: 1,
+		},
+		"lost answers": {
+			change: modelChange("two", 1, "2"),
+			fault: standin.Fault{
+				LoseNext: 3,
+			},
+			revision: 2,
+		},
+		"outage": {
+			change: modelChange("two", 1, "2"),
+			fault: standin.Fault{
+				Outage: true,
+			},
+			want:     document.ErrUnavailable,
+			revision: 1,
+		},
+		"stale reads": {
+			change: modelChange("two", 1, "2"),
+			fault: standin.Fault{
+				StaleReads: 3,
+			},
+			revision: 2,
+		},
+		"body larger than a row": {
+			change:   modelChange("two", 1, strings.Repeat("2", platform.MaxRowBytes)),
+			revision: 2,
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			store, played := newStore(t)
+			view, _, err := store.AcceptOn(ctx, document.NewView(document.New()), modelChange("one", 0, "1"))
+			assert.NilError(t, err)
+			played.Table.Faults.Set(tt.fault)
+			_, accepted, err := store.AcceptOn(ctx, view, tt.change)
+			assert.Assert(t, errors.Is(err, tt.want), "%v", err)
+			played.Table.Faults.Set(standin.Fault{})
+			loaded, err := store.Load(ctx)
+			assert.NilError(t, err)
+			assert.Equal(t, loaded.Revision, tt.revision)
+			if tt.want == nil {
+				assert.Equal(t, loaded.Models["beacon-7b"].Version, versionOf(t, accepted))
+			}
+		})
+	}
+}
+
+func versionOf(t *testing.T, change document.Change) string {
+	t.Helper()
+	var model document.Model
+	assert.NilError(t, json.Unmarshal(change.Set["beacon-7b"], &model))
+	return model.Version
+}
+
+// TestEditorsOfOtherSectionsDoNotCollide lets each section's team change it many times at once.
+func TestEditorsOfOtherSectionsDoNotCollide(t *testing.T) {
+	const each = 25
+	ctx := context.Background()
+	store, played := newStore(t)
+	played.Table.Faults.Set(standin.Fault{
+		LoseAnswers: 0.1,
+	})
+	var group sync.WaitGroup
+	for _, section := range document.SectionNames() {
+		group.Go(func() {
+			view := document.NewView(document.New())
+			for i := range each {
+				next, _, err := store.AcceptOn(ctx, view, document.Change{
+					ID:      fmt.Sprintf("%s-%d", section, i),
+					Section: section,
+					Base:    document.SectionVersion(i),
+				})
+				assert.Check(t, err)
+				view = next
+			}
+		})
+	}
+	group.Wait()
+	loaded, err := store.Load(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, loaded.Revision, document.Revision(each*len(document.SectionNames())))
+}
+
+// TestSnapshotLoadsWhatWasSwept loads a document whose first changes are gone.
+func TestSnapshotLoadsWhatWasSwept(t *testing.T) {
+	const changes = 230
+	ctx := context.Background()
+	store, played := newStore(t)
+	view := document.NewView(document.New())
+	early := view
+	for i := range changes {
+		next, _, err := store.AcceptOn(ctx, view, modelChange(fmt.Sprintf("change-%d", i), document.SectionVersion(i), strconv.Itoa(i+1)))
+		assert.NilError(t, err)
+		view = next
+		if i == 0 {
+			early = view
+		}
+		if document.SnapshotDue(view.Revision) {
+			assert.NilError(t, store.Snapshot(ctx, view.Document()))
+		}
+	}
+	reads := played.Table.Stats().Reads
+	loaded, err := store.Load(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, loaded.Models["beacon-7b"].Version, "230")
+	assert.Assert(t, played.Table.Stats().Reads-reads <= 4)
+	assert.NilError(t, store.Sweep(ctx))
+	history, err := store.Changes(ctx, 0, changes)
+	assert.NilError(t, err)
+	assert.Equal(t, history[0].Revision, document.Revision(200))
+	for _, from := range []*document.View{document.NewView(document.New()), early} {
+		loaded, err = store.CatchUp(ctx, from, changes)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, loaded.Document(), view.Document())
+	}
+}
--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -1,9 +1,8 @@
 package document
 
 import (
+	"encoding/json"
 	"fmt"
-	"reflect"
-	"slices"
 	"strings"
 
 	"rhubarbrudder/internal/jsonc"
@@ -11,13 +10,8 @@
 
 // Validate returns every fault of the document: of types, of ranges, and of references across sections.
 func (d Document) Validate() jsonc.Faults {
-	view, faults := newView(d)
-	if len(faults) > 0 {
-		return faults
-	}
-	faults = append(faults, view.serviceFaults()...)
-	faults = append(faults, view.policyFaults()...)
-	return append(faults, view.keyFaults()...)
+	_, faults := newView(d)
+	return faults
 }
 
 func fault(section SectionName, name EntryName, field, wrong, want string) jsonc.Fault {
@@ -58,35 +52,24 @@
 	return faults
 }
 
-func (v *View) keyFaults() jsonc.Faults {
+// takeKeys enters an organisation's keys and returns a fault for each that another one holds.
+func takeKeys(byKey map[Hash]OrganisationID, id OrganisationID, keys []Hash) jsonc.Faults {
 	var faults jsonc.Faults
-	owner := map[Hash]OrganisationID{}
-	for id, organisation := range v.Organisations {
-		for _, key := range organisation.Keys {
-			if other, taken := owner[key]; taken && other != id {
-				faults = append(faults, fault(Organisations, EntryName(id), "Keys", "share a key with "+string(other), "a key of its own"))
-			}
-			owner[key] = id
+	for _, key := range keys {
+		if other, taken := byKey[key]; taken && other != id {
+			faults = append(faults, fault(Organisations, EntryName(id), "Keys", "share a key with "+string(other), "a key of its own"))
+			continue
 		}
+		byKey[key] = id
 	}
-	slices.SortFunc(faults, func(a, b jsonc.Fault) int {
-		return strings.Compare(a.Field, b.Field)
-	})
 	return faults
 }
 
-// decodeEntries decodes a section's entries into the map.
-func decodeEntries(d Document, section SectionName, target any) jsonc.Faults {
-	var faults jsonc.Faults
-	into := reflect.ValueOf(target).Elem()
-	into.Set(reflect.MakeMap(into.Type()))
-	for name, raw := range d.Sections[section].Entries {
-		entry := reflect.New(into.Type().Elem())
-		for _, wrong := range jsonc.Decode(string(section), raw, entry.Interface()) {
-			wrong.Field = string(name) + "." + wrong.Field
-			faults = append(faults, wrong)
-		}
-		into.SetMapIndex(reflect.ValueOf(string(name)).Convert(into.Type().Key()), entry.Elem())
+// decodeEntry decodes one entry into target, a pointer to its type.
+func decodeEntry(section SectionName, name EntryName, raw json.RawMessage, target any) jsonc.Faults {
+	faults := jsonc.Decode(string(section), raw, target)
+	for i := range faults {
+		faults[i].Field = string(name) + "." + faults[i].Field
 	}
 	return faults
 }
--- a/internal/document/view.go
+++ b/internal/document/view.go
@@ -1,6 +1,11 @@
 package document
 
-import "rhubarbrudder/internal/jsonc"
+import (
+	"encoding/json"
+	"maps"
+
+	"rhubarbrudder/internal/jsonc"
+)
 
 // View is the typed form of a document; it never changes.
 type View struct {
@@ -25,38 +30,182 @@
 		Revision: doc.Revision,
 		Policy:   StandardPolicy(),
 		doc:      doc,
-		byKey:    map[Hash]OrganisationID{},
-		byModel:  map[ModelName]ServiceName{},
-	}
-	var policies map[EntryName]Policy
-	faults := decodeEntries(doc, Capacity, &view.Services)
-	faults = append(faults, decodeEntries(doc, Models, &view.Models)...)
-	faults = append(faults, decodeEntries(doc, BatchPolicy, &policies)...)
-	faults = append(faults, decodeEntries(doc, Organisations, &view.Organisations)...)
-	if policy, ok := policies[DefaultPolicy]; ok {
-		view.Policy = policy
-	}
-	view.index()
-	return view, faults
+	}
+	all := map[SectionName]map[EntryName]bool{}
+	for _, section := range SectionNames() {
+		all[section] = map[EntryName]bool{}
+		for name := range doc.Sections[section].Entries {
+			all[section][name] = true
+		}
+	}
+	return view, view.update(all)
+}
+
+// With returns the view after the changes, which must follow its revision, and the faults that they bring.
+// Only entries that a change names are decoded and checked, and what refers to them.
+func (v *View) With(changes ...Change) (*View, jsonc.Faults, error) {
+	doc, err := v.doc.Apply(changes...)
+	if err != nil {
+		return v, nil, err
+	}
+	touched := map[SectionName]map[EntryName]bool{}
+	for _, change := range changes {
+		names := touched[change.Section]
+		if names == nil {
+			names = map[EntryName]bool{}
+			touched[change.Section] = names
+		}
+		maps.Copy(names, change.names())
+	}
+	next := *v
+	next.Revision = doc.Revision
+	next.doc = doc
+	return &next, next.update(touched), nil
+}
+
+// update decodes the touched entries into maps of the view's own.
+func (v *View) update(touched map[SectionName]map[EntryName]bool) jsonc.Faults {
+	var faults jsonc.Faults
+	if names, ok := touched[Capacity]; ok {
+		faults = append(faults, v.updateServices(names)...)
+	}
+	if names, ok := touched[Models]; ok {
+		faults = append(faults, v.updateModels(names)...)
+	}
+	if _, ok := touched[BatchPolicy]; ok {
+		faults = append(faults, v.updatePolicy()...)
+	}
+	if names, ok := touched[Organisations]; ok {
+		faults = append(faults, v.updateOrganisations(names)...)
+	}
+	if touched[Capacity] != nil || touched[Models] != nil {
+		v.indexModels()
+		faults = append(faults, v.serviceFaults()...)
+	}
+	return faults
+}
+
+// raw returns an entry's JSON, or nil if the section has no such entry.
+func (v *View) raw(section SectionName, name EntryName) json.RawMessage {
+	return v.doc.Sections[section].Entries[name]
 }
 
-func (v *View) index() {
-	for id, organisation := range v.Organisations {
-		for _, key := range organisation.Keys {
-			v.byKey[key] = id
+func (v *View) updateServices(names map[EntryName]bool) jsonc.Faults {
+	var faults jsonc.Faults
+	services := maps.Clone(v.Services)
+	if services == nil {
+		services = map[ServiceName]Service{}
+	}
+	for name := range names {
+		delete(services, ServiceName(name))
+		raw := v.raw(Capacity, name)
+		if raw == nil {
+			continue
+		}
+		var service Service
+		wrong := decodeEntry(Capacity, name, raw, &service)
+		if len(wrong) == 0 {
+			services[ServiceName(name)] = service
 		}
+		faults = append(faults, wrong...)
+	}
+	v.Services = services
+	return faults
+}
+
+func (v *View) updateModels(names map[EntryName]bool) jsonc.Faults {
+	var faults jsonc.Faults
+	models := maps.Clone(v.Models)
+	if models == nil {
+		models = map[ModelName]Model{}
 	}
+	for name := range names {
+		delete(models, ModelName(name))
+		raw := v.raw(Models, name)
+		if raw == nil {
+			continue
+		}
+		var model Model
+		wrong := decodeEntry(Models, name, raw, &model)
+		if len(wrong) == 0 {
+			models[ModelName(name)] = model
+		}
+		faults = append(faults, wrong...)
+	}
+	v.Models = models
+	return faults
+}
+
+func (v *View) updatePolicy() jsonc.Faults {
+	v.Policy = StandardPolicy()
+	faults := v.policyFaults()
+	raw := v.raw(BatchPolicy, DefaultPolicy)
+	if raw == nil {
+		return faults
+	}
+	var policy Policy
+	wrong := decodeEntry(BatchPolicy, DefaultPolicy, raw, &policy)
+	if len(wrong) == 0 {
+		v.Policy = policy
+	}
+	return append(faults, wrong...)
+}
+
+// updateOrganisations frees the keys of all touched organisations before any takes keys, so that a key may move.
+func (v *View) updateOrganisations(names map[EntryName]bool) jsonc.Faults {
+	var faults jsonc.Faults
+	organisations := maps.Clone(v.Organisations)
+	if organisations == nil {
+		organisations = map[OrganisationID]Organisation{}
+	}
+	byKey := maps.Clone(v.byKey)
+	if byKey == nil {
+		byKey = map[Hash]OrganisationID{}
+	}
+	for name := range names {
+		for _, key := range organisations[OrganisationID(name)].Keys {
+			delete(byKey, key)
+		}
+		delete(organisations, OrganisationID(name))
+	}
+	for name := range names {
+		raw := v.raw(Organisations, name)
+		if raw == nil {
+			continue
+		}
+		var organisation Organisation
+		wrong := decodeEntry(Organisations, name, raw, &organisation)
+		if len(wrong) == 0 {
+			organisations[OrganisationID(name)] = organisation
+			wrong = takeKeys(byKey, OrganisationID(name), organisation.Keys)
+		}
+		faults = append(faults, wrong...)
+	}
+	v.Organisations = organisations
+	v.byKey = byKey
+	return faults
+}
+
+// indexModels finds the service of each model and adapter; of two, the first by name, the same on each VM.
+func (v *View) indexModels() {
+	v.byModel = map[ModelName]ServiceName{}
 	for name, service := range v.Services {
 		if service.Kind != KindEngine {
 			continue
 		}
-		v.byModel[service.Model] = name
+		v.indexModel(service.Model, name)
 		for _, adapter := range v.Models[service.Model].Adapters {
-			v.byModel[ModelName(adapter)] = name
+			v.indexModel(ModelName(adapter), name)
 		}
 	}
 }
 
+func (v *View) indexModel(model ModelName, service ServiceName) {
+	if other, taken := v.byModel[model]; !taken || service < other {
+		v.byModel[model] = service
+	}
+}
+
 // Document returns the document that the view shows.
 func (v *View) Document() Document {
 	return v.doc
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,11 @@
 	RoleController Role = "Controller"
 )
 
+// Roles lists the roles.
+func Roles() []Role {
+	return []Role{RoleGateway, RoleDispatcher, RoleController}
+}
+
 // Member is a process of the system.
 type Member struct {
 	Role          Role
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,8 @@
 
 // Document is the view in force.
 type Document interface {
-	View() *document.View
+	// Fresh returns the view and whether new work may be taken by it.
+	Fresh() (*document.View, bool)
 }
 
 // Members lists the processes alive.
@@ -110,13 +111,18 @@
 // as authenticates the caller and logs how the request ended.
 func (g *Gateway) as(serve func(c *caller) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		view, fresh := g.document.Fresh()
 		c := &caller{
 			w:    w,
 			r:    r,
 			id:   request.NewID(),
-			view: g.document.View(),
+			view: view,
 		}
 		w.Header().Set(endpoint.HeaderRequestID, string(c.id))
+		if !fresh {
+			g.refuse(c, errNotFresh)
+			return
+		}
 		var err error
 		c.organisation, err = organisation.Authenticate(c.view, r)
 		if err == nil {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -20,6 +20,7 @@
 var (
 	errBodyTooLarge = request.Invalid("body_too_large", "the body is too large")
 	errUnknownModel = request.Invalid("model_not_found", "no service serves the model")
+	errNotFresh     = errors.New("gateway: document not confirmed")
 	errBegun        = errors.New("gateway: answer broke off after it had begun")
 )
 
@@ -85,6 +86,8 @@
 	}
 	ticket := &request.Ticket{}
 	switch {
+	case errors.Is(err, errNotFresh):
+		return ticket.Refuse(http.StatusServiceUnavailable, "cut_off", "this VM is cut off from the others and takes no new work", retrySoon)
 	case errors.Is(err, organisation.ErrNoKey), errors.Is(err, organisation.ErrWrongKey):
 		return ticket.Refuse(http.StatusUnauthorized, "invalid_api_key", "the key is missing or wrong", 0)
 	case errors.Is(err, organisation.ErrOverLimit):
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -165,8 +165,11 @@
 	d.fault(field, value, "has a value that can't be used", err.Error())
 }
 
+// structs checks the tags of fields; it keeps what it learnt of each type.
+var structs = validator.New()
+
 func (d *decoder) validate(root *hujson.Value, target any) {
-	err := validator.New().Struct(target)
+	err := structs.Struct(target)
 	var invalid validator.ValidationErrors
 	if !errors.As(err, &invalid) {
 		return
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -32,6 +32,7 @@
 	table     *platform.Table
 	objects   *platform.Objects
 	follower  *document.Follower
+	spread    *document.Spread
 	store     *document.Store
 	jobs      *job.Store
 	fleet     *fleet.Fleet
@@ -93,10 +94,18 @@
 	}
 	b.notes = explain.New(b.self.ID())
 	b.store = document.NewStore(b.table, b.objects)
-	b.follower = document.NewFollower(b.store, time.Duration(s.Timing.DocumentPoll), log)
 	b.jobs = job.NewStore(b.table, b.objects)
 	b.fleet = fleet.New(b.self, ports(s), platform.NewVMList(client, s.Platform.VMListURL), b.peers, log)
 	b.fleet.OnList(b.directory.Update)
+	b.follower = document.NewFollower(b.store, b.fleet, document.DefaultLimits(time.Duration(s.Timing.DocumentPoll)), log)
+	b.spread = document.NewSpread(b.follower, b.peers, log)
+	b.status.AddCheck(func() bool {
+		_, fresh := b.follower.Fresh()
+		return fresh
+	})
+	if err := b.server.Register("Document", document.NewServer(b.follower)); err != nil {
+		return nil, err
+	}
 	if err := b.server.Register("Fleet", fleet.NewService(b.fleet)); err != nil {
 		return nil, err
 	}
@@ -252,6 +261,7 @@
 	}
 	b.drain(ctx, group)
 	add(group, b.follower.Run)
+	add(group, b.spread.Run)
 	add(group, func(ctx context.Context) error {
 		timing := b.settings.Timing
 		return b.fleet.Run(ctx, time.Duration(timing.VMListPoll), time.Duration(timing.Heartbeat))
--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -34,6 +34,7 @@
 		Store:     b.store,
 		Members:   b.fleet,
 		Directory: b.directory,
+		Caller:    b.peers,
 		Root:      document.Hash(strings.TrimSpace(string(token))),
 		Log:       b.log,
 	})
@@ -46,5 +47,7 @@
 	}
 	b.status.SetReady(true)
 	b.log.Info("controller started", "address", s.VM.Join(s.Ports.Operator))
-	return group.Run()
+	err = group.Run()
+	served.Wait()
+	return err
 }
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -19,6 +19,8 @@
 	LoseAnswers float64
 	// LoseNext is how many of the next writes lose their answer after they took effect.
 	LoseNext int
+	// StaleReads is how many of the next reads answer with the row as it was before its last write.
+	StaleReads int
 	// Kind limits LoseAnswers and LoseNext to writes to partitions or objects that begin with it.
 	Kind string
 }
@@ -65,6 +67,17 @@
 	return f.fault.LoseAnswers > 0 && f.rng.Float64() < f.fault.LoseAnswers
 }
 
+// staleRead reports whether the next read is to be stale.
+func (f *Faults) staleRead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault.StaleReads == 0 {
+		return false
+	}
+	f.fault.StaleReads--
+	return true
+}
+
 // wrap applies outage and delay in front of a handler.
 func (f *Faults) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -23,7 +23,9 @@
 
 type partition struct {
 	items map[string]platform.Item
-	sorts []string
+	// before holds rows as they were before their last write.
+	before map[string]platform.Item
+	sorts  []string
 }
 
 // TableStats counts what a table service did.
@@ -98,7 +100,11 @@
 	}
 	t.mu.Lock()
 	t.reads++
-	item := t.item(platform.ItemKey(in.Key))
+	key := platform.ItemKey(in.Key)
+	item := t.item(key)
+	if part := t.partitions[key.Partition]; part != nil && t.Faults.staleRead() {
+		item = part.before[key.Sort]
+	}
 	t.mu.Unlock()
 	writeJSON(w, http.StatusOK, platform.GetItemOutput{
 		Item: item,
@@ -228,7 +234,8 @@
 	part := t.partitions[key.Partition]
 	if part == nil {
 		part = &partition{
-			items: map[string]platform.Item{},
+			items:  map[string]platform.Item{},
+			before: map[string]platform.Item{},
 		}
 		t.partitions[key.Partition] = part
 	}
@@ -238,6 +245,7 @@
 		if !found {
 			part.sorts = slices.Insert(part.sorts, at, key.Sort)
 		}
+		part.before[key.Sort] = part.items[key.Sort]
 		part.items[key.Sort] = write.Item
 	case action.Delete != nil && found:
 		part.sorts = slices.Delete(part.sorts, at, at+1)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -30,6 +30,7 @@
 	ready    atomic.Bool
 	registry *prometheus.Registry
 	meter    metric.Meter
+	checks   []func() bool
 }
 
 // NewStatus returns the status of a process that is not ready yet.
@@ -56,8 +57,18 @@
 	s.ready.Store(ready)
 }
 
+// AddCheck adds a condition of readiness; it must come before Handler.
+func (s *Status) AddCheck(holds func() bool) {
+	s.checks = append(s.checks, holds)
+}
+
 // Ready reports whether new work is welcome.
 func (s *Status) Ready() bool {
+	for _, holds := range s.checks {
+		if !holds() {
+			return false
+		}
+	}
 	return s.ready.Load()
 }
 
