Document: tests of the race, of freezes, of outages and of owners

Four teams of two editors race 1,000 changes through 12 controllers while the table loses a tenth of the answers and controllers are killed, restarted and frozen.

Seen failing with the mechanism off: Fresh always true: TestFrozenGateway... (status 200 for a revoked key), TestFresh, TestStaleProcessesAreNotFresh; no rule for an outage: TestOutageOfThePlatform (503 after 10 s); no push: TestPushReaches...; older view taken: TestFollowerOnlyMovesForward. Not failing with the mechanism off: TestTeamsRacing without the resend in Accept, because its editors resend themselves; TestAccept covers it.

--- /dev/null
+++ b/internal/document/follower_test.go
@@ -0,0 +1,298 @@
+package document_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/platform"
+)
+
+// history is a source in memory that can be out of reach.
+type history struct {
+	mu      sync.Mutex
+	changes []document.Change
+	out     bool
+}
+
+func (h *history) accept() document.Change {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change := modelChange(fmt.Sprintf("change-%d", len(h.changes)), document.SectionVersion(len(h.changes)), "1")
+	change.Revision = document.Revision(len(h.changes) + 1)
+	h.changes = append(h.changes, change)
+	return change
+}
+
+// reach is one process's way to the history.
+type reach struct {
+	history *history
+	cut     bool
+}
+
+func (r *reach) Head(context.Context) (document.Head, platform.Version, error) {
+	r.history.mu.Lock()
+	defer r.history.mu.Unlock()
+	if r.cut || r.history.out {
+		return document.Head{}, 0, document.ErrUnavailable
+	}
+	return document.Head{
+		Revision: document.Revision(len(r.history.changes)),
+	}, 1, nil
+}
+
+func (r *reach) Changes(_ context.Context, after document.Revision, _ int) ([]document.Change, error) {
+	r.history.mu.Lock()
+	defer r.history.mu.Unlock()
+	return r.history.changes[after:], nil
+}
+
+func (r *reach) CatchUp(ctx context.Context, view *document.View, _ document.Revision) (*document.View, error) {
+	changes, err := r.Changes(ctx, view.Revision, 0)
+	if err != nil {
+		return view, err
+	}
+	next, _, err := view.With(changes...)
+	return next, err
+}
+
+// mesh is a fleet of followers that call each other in memory.
+type mesh struct {
+	history   *history
+	followers []*document.Follower
+	spreads   []*document.Spread
+	ways      []*reach
+	cut       map[string]bool
+	mu        sync.Mutex
+	calls     int
+}
+
+// neighbours is one process's view of the mesh's members.
+type neighbours struct {
+	mesh *mesh
+	self int
+}
+
+func (n neighbours) Neighbours() []string {
+	var addresses []string
+	for _, step := range []int{1, 7, 31, 113} {
+		if other := (n.self + step) % len(n.mesh.followers); other != n.self {
+			addresses = append(addresses, strconv.Itoa(other))
+		}
+	}
+	return addresses
+}
+
+func (n neighbours) Count() int { return len(n.mesh.followers) }
+
+func (n neighbours) Majority(time.Duration) bool {
+	n.mesh.mu.Lock()
+	defer n.mesh.mu.Unlock()
+	return !n.mesh.cut[strconv.Itoa(n.self)]
+}
+
+var errCut = errors.New("cut")
+
+// caller calls from one process of the mesh.
+type caller struct {
+	mesh *mesh
+	self int
+}
+
+func (c caller) Call(_ context.Context, address, method string, args, reply any) error {
+	c.mesh.mu.Lock()
+	c.mesh.calls++
+	cut := c.mesh.cut[address] || c.mesh.cut[strconv.Itoa(c.self)]
+	c.mesh.mu.Unlock()
+	if cut {
+		return errCut
+	}
+	var to int
+	if _, err := fmt.Sscan(address, &to); err != nil {
+		return err
+	}
+	server := document.NewServer(c.mesh.followers[to])
+	switch strings.TrimPrefix(method, "Document.") {
+	case "Push":
+		return server.Push(args.(document.PushArgs), reply.(*document.RevisionReply))
+	case "Compare":
+		return server.Compare(args.(document.CompareArgs), reply.(*document.CompareReply))
+	default:
+		return server.Whole(struct{}{}, reply.(*document.Document))
+	}
+}
+
+func newMesh(processes int) *mesh {
+	m := &mesh{
+		history: &history{},
+		cut:     map[string]bool{},
+	}
+	for i := range processes {
+		way := &reach{
+			history: m.history,
+		}
+		follower := document.NewFollower(way, neighbours{
+			mesh: m,
+			self: i,
+		}, document.DefaultLimits(time.Second), slog.New(slog.DiscardHandler))
+		m.ways = append(m.ways, way)
+		m.followers = append(m.followers, follower)
+		m.spreads = append(m.spreads, document.NewSpread(follower, caller{
+			mesh: m,
+			self: i,
+		}, slog.New(slog.DiscardHandler)))
+	}
+	return m
+}
+
+func (m *mesh) run(ctx context.Context) {
+	for i := range m.followers {
+		go func() { _ = m.followers[i].Run(ctx) }()
+		go func() { _ = m.spreads[i].Run(ctx) }()
+	}
+}
+
+func (m *mesh) fresh(process int) bool {
+	_, fresh := m.followers[process].Fresh()
+	return fresh
+}
+
+func TestPushReachesEveryProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(200)
+		for range 3 {
+			change := m.history.accept()
+			m.followers[5].Accepted(t.Context(), nil, change)
+			synctest.Wait()
+			for i, follower := range m.followers {
+				assert.Equal(t, follower.View().Revision, change.Revision, "process %d", i)
+			}
+		}
+		assert.Assert(t, m.calls <= 3*200*3, "%d calls", m.calls)
+	})
+}
+
+func TestFresh(t *testing.T) {
+	const processes = 5
+	const last = processes - 1
+	cases := map[string]struct {
+		// fault happens to the last process of a fleet that is up to date.
+		fault func(m *mesh)
+		after time.Duration
+		want  bool
+	}{
+		"all well": {
+			fault: func(*mesh) {},
+			after: time.Minute,
+			want:  true,
+		},
+		"confirmed by peers": {
+			fault: func(m *mesh) { m.ways[last].cut = true },
+			after: time.Minute,
+			want:  true,
+		},
+		"outage for all": {
+			fault: func(m *mesh) { m.history.out = true },
+			after: time.Minute,
+			want:  true,
+		},
+		"cut off, within the promise": {
+			fault: func(m *mesh) { m.ways[last].cut, m.cut[strconv.Itoa(last)] = true, true },
+			after: 6 * time.Second,
+			want:  true,
+		},
+		"cut off": {
+			fault: func(m *mesh) { m.ways[last].cut, m.cut[strconv.Itoa(last)] = true, true },
+			after: 8 * time.Second,
+		},
+		"cut off in an outage": {
+			fault: func(m *mesh) { m.history.out, m.cut[strconv.Itoa(last)] = true, true },
+			after: 8 * time.Second,
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				m := newMesh(processes)
+				m.history.accept()
+				m.run(ctx)
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				m.mu.Lock()
+				m.history.mu.Lock()
+				tt.fault(m)
+				m.history.mu.Unlock()
+				m.mu.Unlock()
+				time.Sleep(tt.after)
+				assert.Equal(t, m.fresh(last), tt.want)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestStaleProcessesAreNotFresh accepts changes at times drawn ahead while links come and go: whoever is fresh outside an
+// outage has every change that is older than the promise.
+func TestStaleProcessesAreNotFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		m := newMesh(12)
+		m.run(ctx)
+		var accepted []time.Time
+		for second := range 300 {
+			m.history.accept()
+			accepted = append(accepted, time.Now())
+			m.mu.Lock()
+			m.history.mu.Lock()
+			for i := range m.followers {
+				m.ways[i].cut = (second/40+i)%3 != 0
+				m.cut[strconv.Itoa(i)] = (second/25+i)%2 == 0
+			}
+			m.history.mu.Unlock()
+			m.mu.Unlock()
+			time.Sleep(time.Second)
+			for _, follower := range m.followers {
+				view, fresh := follower.Fresh()
+				due := second - 7
+				if fresh && due >= 0 {
+					assert.Assert(t, time.Since(accepted[due]) >= 8*time.Second)
+					assert.Assert(t, int(view.Revision) > due, "revision %d, want more than %d", view.Revision, due)
+				}
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestFollowerOnlyMovesForward(t *testing.T) {
+	m := newMesh(1)
+	old := document.NewView(document.New())
+	for range 3 {
+		m.followers[0].Accepted(t.Context(), nil, m.history.accept())
+		m.followers[0].Advance(old)
+		assert.NilError(t, m.followers[0].Take(m.history.changes[:1]))
+		assert.Equal(t, m.followers[0].View().Revision, document.Revision(len(m.history.changes)))
+		old = m.followers[0].View()
+	}
+	m.followers[0].Advance(document.NewView(document.New()))
+	assert.Equal(t, m.followers[0].View().Revision, document.Revision(3))
+	assert.ErrorIs(t, m.followers[0].Take([]document.Change{
+		{
+			Revision: 9,
+			Section:  document.Models,
+		},
+	}), document.ErrGap)
+}
--- /dev/null
+++ b/test/document_fresh_test.go
@@ -0,0 +1,185 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/standin"
+)
+
+// promise is the time within which an accepted change is in force everywhere.
+const promise = 8 * time.Second
+
+// models asks a gateway for its models with a key and returns the status and the outcome told.
+func (c *cluster) models(vm int, key string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, c.gatewayURL(vm)+"/v1/models", nil)
+	if err != nil {
+		return 0, ""
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	client := http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+		Timeout: 2 * promise,
+	}
+	response, err := client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, _ := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header.Get("Rhubarbrudder-Outcome") + string(data)
+}
+
+func (c *cluster) revoke(vm int, id string, organisation document.EntryName) {
+	c.t.Helper()
+	c.operator(testToken).mustPut(vm, id, document.Organisations, func(section *document.Section) {
+		delete(section.Entries, organisation)
+	})
+}
+
+func (c *cluster) isReady(role fleet.Role, vm int) bool {
+	port := map[fleet.Role]int{
+		fleet.RoleGateway:    c.settings[vm].Ports.GatewayStatus,
+		fleet.RoleController: c.settings[vm].Ports.ControllerStatus,
+	}[role]
+	response, err := http.Get("http://" + c.settings[vm].VM.Join(port) + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// TestFrozenGatewayDoesNotServeByAnOldDocument revokes a key while a gateway is frozen for longer than the promise, with
+// requests by that key waiting in its sockets.
+func TestFrozenGatewayDoesNotServeByAnOldDocument(t *testing.T) {
+	t.Parallel()
+	const waiting = 40
+	options := defaultCluster(91)
+	options.roles = []fleet.Role{fleet.RoleGateway, fleet.RoleController}
+	options.organisations = map[document.OrganisationID]document.Organisation{
+		"wenber": testOrganisation("old-key"),
+	}
+	c := newCluster(t, options)
+	status, _ := c.models(2, "old-key")
+	assert.Equal(t, status, http.StatusOK)
+	c.signal(fleet.RoleGateway, 2, syscall.SIGSTOP)
+	c.revoke(0, "revoke", "wenber")
+	revoked := time.Now()
+	waitFor(t, "the key to be refused at the others", promise, func() bool {
+		first, _ := c.models(0, "old-key")
+		second, _ := c.models(1, "old-key")
+		return first == http.StatusUnauthorized && second == http.StatusUnauthorized
+	})
+	t.Logf("refused at the others after %s", time.Since(revoked))
+	var group sync.WaitGroup
+	statuses := make([]int, waiting)
+	for i := range waiting {
+		group.Go(func() {
+			statuses[i], _ = c.models(2, "old-key")
+		})
+	}
+	time.Sleep(time.Until(revoked.Add(promise + time.Second)))
+	c.signal(fleet.RoleGateway, 2, syscall.SIGCONT)
+	group.Wait()
+	for _, status := range statuses {
+		assert.Assert(t, status == http.StatusUnauthorized || status == http.StatusServiceUnavailable, "status %d", status)
+	}
+	waitFor(t, "the gateway to serve again", promise, func() bool {
+		status, _ := c.models(2, testKey)
+		return status == http.StatusOK
+	})
+}
+
+// TestOutageOfThePlatform restarts a VM in an outage, outlasts the promise, and then loses most VMs.
+func TestOutageOfThePlatform(t *testing.T) {
+	t.Parallel()
+	options := defaultCluster(92)
+	options.roles = []fleet.Role{fleet.RoleGateway, fleet.RoleController}
+	c := newCluster(t, options)
+	outage := standin.Fault{
+		Outage: true,
+	}
+	c.platform.Table.Faults.Set(outage)
+	c.platform.Objects.Faults.Set(outage)
+	began := time.Now()
+	c.signal(fleet.RoleGateway, 2, syscall.SIGKILL)
+	c.waitExit(fleet.RoleGateway, 2)
+	c.start(fleet.RoleGateway, 2)
+	c.waitReady(fleet.RoleGateway, 2)
+	time.Sleep(time.Until(began.Add(promise + 2*time.Second)))
+	for vm := range options.vms {
+		answer, err := ask(c.client(vm), "Is the beacon ready?", 4)
+		assert.NilError(t, err)
+		assert.Equal(t, answer, standin.Answer("Is the beacon ready?", 4))
+	}
+	for vm := 1; vm < options.vms; vm++ {
+		for _, role := range options.roles {
+			c.signal(role, vm, syscall.SIGKILL)
+			c.waitExit(role, vm)
+		}
+	}
+	waitFor(t, "the last VM to be unready", 3*promise, func() bool {
+		return !c.isReady(fleet.RoleGateway, 0)
+	})
+	status, outcome := c.models(0, testKey)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.HasPrefix(outcome, "not run"), "%s", outcome)
+	c.platform.Table.Faults.Set(standin.Fault{})
+	c.waitReady(fleet.RoleGateway, 0)
+	status, _ = c.models(0, testKey)
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// TestOwnersOpenOnlyTheirSection lets a team change its own section and no other.
+func TestOwnersOpenOnlyTheirSection(t *testing.T) {
+	t.Parallel()
+	options := defaultCluster(93)
+	options.vms = 1
+	options.roles = []fleet.Role{fleet.RoleController}
+	c := newCluster(t, options)
+	root := c.operator(testToken)
+	root.mustPut(0, "owners", document.Models, func(section *document.Section) {
+		section.Owners = []document.Hash{document.HashOf("models team")}
+	})
+	team := c.operator("models team")
+	for i, want := range map[document.SectionName]int{
+		document.Models:        http.StatusOK,
+		document.Organisations: http.StatusForbidden,
+		document.Capacity:      http.StatusForbidden,
+	} {
+		base, err := team.section(0, i)
+		assert.NilError(t, err)
+		status, _, err := team.put(0, fmt.Sprintf("change of %s", i), base, document.Section{
+			Entries: base.Entries,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, status, want, "%s", i)
+	}
+	status, _ := c.operator("no team").do(0, http.MethodGet, "/history", nil, nil, &struct{}{})
+	assert.Equal(t, status, http.StatusUnauthorized)
+	base, err := team.section(0, document.Models)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, base.Owners, []document.Hash{document.HashOf("models team")})
+	old := base
+	old.Version--
+	status, failure, err := team.put(0, "late", old, document.Section{
+		Entries: base.Entries,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusPreconditionFailed)
+	assert.Equal(t, failure.Current.Version, base.Version)
+	assert.Assert(t, failure.Difference != nil)
+}
--- /dev/null
+++ b/test/document_race_test.go
@@ -0,0 +1,339 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/controller"
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/standin"
+)
+
+const operatorPort = 8090
+
+// operator speaks to controllers with one token.
+type operator struct {
+	cluster *cluster
+	token   string
+	client  *http.Client
+}
+
+func (c *cluster) operator(token string) operator {
+	return operator{
+		cluster: c,
+		token:   token,
+		client: &http.Client{
+			Timeout: 5 * time.Second,
+		},
+	}
+}
+
+// do sends a request to a VM's controller; the status is 0 if no answer came.
+func (o operator) do(vm int, method, path string, header map[string]string, body, answer any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequest(method, "http://"+o.cluster.address(11+vm, operatorPort)+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+o.token)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	response, err := o.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err = io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, json.Unmarshal(data, answer)
+}
+
+func (o operator) section(vm int, name document.SectionName) (controller.SectionBody, error) {
+	var body controller.SectionBody
+	status, err := o.do(vm, http.MethodGet, "/document/"+string(name), nil, nil, &body)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return body, err
+}
+
+func (o operator) put(vm int, id string, base controller.SectionBody, wanted document.Section) (int, controller.Failure, error) {
+	var answer struct {
+		controller.Failure
+		document.Change
+	}
+	status, err := o.do(vm, http.MethodPut, "/document/"+string(base.Name), map[string]string{
+		"If-Match":        strconv.Quote(strconv.Itoa(int(base.Version))),
+		"Idempotency-Key": id,
+	}, wanted, &answer)
+	return status, answer.Failure, err
+}
+
+// mustPut changes a section until the change is accepted.
+func (o operator) mustPut(vm int, id string, name document.SectionName, change func(section *document.Section)) {
+	o.cluster.t.Helper()
+	waitFor(o.cluster.t, "change "+id+" to be accepted", readyTimeout, func() bool {
+		base, err := o.section(vm, name)
+		if err != nil {
+			return false
+		}
+		wanted := document.Section{
+			Entries: base.Entries,
+		}
+		change(&wanted)
+		status, _, err := o.put(vm, id, base, wanted)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+// teamEntry returns the entry that the teams of the race change, with a number of the change's own.
+func teamEntry(section document.SectionName, number int) (document.EntryName, any) {
+	switch section {
+	case document.Capacity:
+		return "team", document.Service{Kind: document.KindPlain, Slots: 1, QueueMilliseconds: number}
+	case document.Models:
+		return "team", document.Model{Version: strconv.Itoa(number + 1)}
+	case document.BatchPolicy:
+		policy := document.StandardPolicy()
+		policy.LotItems = number + 1
+		return document.DefaultPolicy, policy
+	default:
+		organisation := testOrganisation("team-key")
+		organisation.ConcurrentRequests = number + 1
+		return "team", organisation
+	}
+}
+
+// verdicts are the changes of a race by their outcome.
+type verdicts struct {
+	mu       sync.Mutex
+	accepted map[string]bool
+	refused  map[string]bool
+}
+
+func (v *verdicts) add(id string, accepted bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if accepted {
+		v.accepted[id] = true
+	} else {
+		v.refused[id] = true
+	}
+}
+
+// edit makes changes through any controller; an unclear answer is resolved by sending the same change again elsewhere.
+func (o operator) edit(section document.SectionName, editor, changes int, outcome *verdicts) error {
+	rng := rand.New(rand.NewPCG(uint64(editor), 1))
+	vms := o.cluster.options.vms
+	for i := range changes {
+		number := editor*changes + i
+		id := fmt.Sprintf("%s-%d", section, number)
+		base, err := o.section(rng.IntN(vms), section)
+		for err != nil {
+			time.Sleep(20 * time.Millisecond)
+			base, err = o.section(rng.IntN(vms), section)
+		}
+		name, entry := teamEntry(section, number)
+		data, err := json.Marshal(entry)
+		if err != nil {
+			return err
+		}
+		base.Entries[name] = data
+		for {
+			status, failure, err := o.put(rng.IntN(vms), id, base, document.Section{
+				Entries: base.Entries,
+			})
+			if err == nil && (status == http.StatusOK || status == http.StatusPreconditionFailed) {
+				outcome.add(id, status == http.StatusOK)
+				break
+			}
+			if err == nil && status < http.StatusInternalServerError {
+				return fmt.Errorf("%s: status %d: %s", id, status, failure.Message)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// disturb kills and restarts the controllers of the first VMs, and freezes one, until the channel is closed.
+func disturb(c *cluster, over <-chan struct{}) []*process {
+	var gone []*process
+	for vm := 0; ; vm = (vm + 1) % 3 {
+		select {
+		case <-over:
+			return gone
+		case <-time.After(100 * time.Millisecond):
+		}
+		if vm == 2 {
+			c.signal(fleet.RoleController, vm, syscall.SIGSTOP)
+			time.Sleep(500 * time.Millisecond)
+			c.signal(fleet.RoleController, vm, syscall.SIGCONT)
+			continue
+		}
+		c.signal(fleet.RoleController, vm, syscall.SIGKILL)
+		c.waitExit(fleet.RoleController, vm)
+		gone = append(gone, c.processes[processName(fleet.RoleController, vm)])
+		c.start(fleet.RoleController, vm)
+	}
+}
+
+var inForceLine = regexp.MustCompile(`time=(\S+) .*msg="document in force".* revision=(\d+)`)
+
+// moment is when a revision came into force in a process.
+type moment struct {
+	at       time.Time
+	revision document.Revision
+}
+
+func inForce(t *testing.T, started *process) []moment {
+	t.Helper()
+	var moments []moment
+	for _, line := range inForceLine.FindAllStringSubmatch(started.text(), -1) {
+		at, err := time.Parse(time.RFC3339Nano, line[1])
+		assert.NilError(t, err)
+		revision, err := strconv.Atoi(line[2])
+		assert.NilError(t, err)
+		moments = append(moments, moment{
+			at:       at,
+			revision: document.Revision(revision),
+		})
+	}
+	return moments
+}
+
+// TestTeamsRacing lets 4 teams of 2 editors race 1,000 changes through 12 controllers, of which some are killed and
+// frozen, while the table loses answers.
+func TestTeamsRacing(t *testing.T) {
+	const editors = 2
+	const changes = 125
+	options := defaultCluster(90)
+	options.vms = 12
+	options.roles = []fleet.Role{fleet.RoleGateway, fleet.RoleController}
+	c := newCluster(t, options)
+	root := c.operator(testToken)
+	for _, section := range document.SectionNames() {
+		root.mustPut(0, "owners-"+string(section), section, func(wanted *document.Section) {
+			wanted.Owners = []document.Hash{document.HashOf("token of " + string(section))}
+		})
+	}
+	waitInForce(c, root)
+	c.platform.Table.Faults.Set(standin.Fault{
+		LoseAnswers: 0.1,
+		Kind:        "Document",
+	})
+	outcome := &verdicts{
+		accepted: map[string]bool{},
+		refused:  map[string]bool{},
+	}
+	over := make(chan struct{})
+	killed := make(chan []*process, 1)
+	go func() { killed <- disturb(c, over) }()
+	var group sync.WaitGroup
+	for _, section := range document.SectionNames() {
+		for editor := range editors {
+			group.Go(func() {
+				assert.Check(t, c.operator("token of "+string(section)).edit(section, editor, changes, outcome))
+			})
+		}
+	}
+	group.Wait()
+	close(over)
+	gone := <-killed
+	c.platform.Table.Faults.Set(standin.Fault{})
+	history := checkHistory(t, c, outcome)
+	assert.Equal(t, len(outcome.accepted)+len(outcome.refused), 4*editors*changes)
+	waitInForce(c, root)
+	for _, started := range c.processes {
+		gone = append(gone, started)
+	}
+	for _, started := range gone {
+		moments := inForce(t, started)
+		assert.Assert(t, slices.IsSortedFunc(moments, func(a, b moment) int { return int(a.revision - b.revision) }))
+	}
+	checkSpread(t, c, history)
+	t.Logf("%d accepted, %d refused, %d controllers killed", len(outcome.accepted), len(outcome.refused), len(gone)-len(c.processes))
+}
+
+// waitInForce waits until every process has the last revision.
+func waitInForce(c *cluster, root operator) {
+	c.t.Helper()
+	head, _, err := c.documentStore().Head(context.Background())
+	assert.NilError(c.t, err)
+	last := c.options.vms - 1
+	waitFor(c.t, "the last revision to be in force everywhere", readyTimeout, func() bool {
+		var status controller.StatusBody
+		_, err := root.do(last, http.MethodGet, "/status", nil, nil, &status)
+		return err == nil && status.Revision == head.Revision && status.InForce == len(c.options.roles)*c.options.vms
+	})
+}
+
+// checkHistory checks that the history holds each accepted change once, no refused one, and all in order.
+func checkHistory(t *testing.T, c *cluster, outcome *verdicts) []document.Change {
+	t.Helper()
+	history, err := c.documentStore().Changes(context.Background(), 0, 2000)
+	assert.NilError(t, err)
+	versions := map[document.SectionName]document.SectionVersion{}
+	found := map[string]bool{}
+	for i, change := range history {
+		assert.Equal(t, change.Revision, document.Revision(i+1))
+		assert.Equal(t, change.Base, versions[change.Section])
+		versions[change.Section]++
+		assert.Assert(t, !found[change.ID], "%s is accepted twice", change.ID)
+		assert.Assert(t, !outcome.refused[change.ID], "%s was refused", change.ID)
+		found[change.ID] = true
+	}
+	for id := range outcome.accepted {
+		assert.Assert(t, found[id], "%s is lost", id)
+	}
+	loaded, err := c.documentStore().Load(context.Background())
+	assert.NilError(t, err)
+	replayed, err := document.New().Apply(history...)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, loaded.Document(), replayed)
+	return history
+}
+
+// spreadTarget is how soon after acceptance a change is in force on 12 VMs.
+const spreadTarget = 2 * time.Second
+
+// checkSpread checks the time from acceptance to force at the VMs whose controllers were not disturbed.
+func checkSpread(t *testing.T, c *cluster, history []document.Change) {
+	t.Helper()
+	var delays []time.Duration
+	for vm := 3; vm < c.options.vms; vm++ {
+		for _, role := range c.options.roles {
+			moments := inForce(t, c.processes[processName(role, vm)])
+			for _, change := range history[10:] {
+				at := slices.IndexFunc(moments, func(m moment) bool { return m.revision >= change.Revision })
+				assert.Assert(t, at >= 0)
+				delays = append(delays, moments[at].at.Sub(change.Accepted))
+			}
+		}
+	}
+	slices.Sort(delays)
+	worst := delays[len(delays)-1]
+	t.Logf("in force after acceptance: median %s, 99%% %s, worst %s", delays[len(delays)/2], delays[len(delays)*99/100], worst)
+	assert.Assert(t, worst < spreadTarget, "%s", worst)
+}
