Document: test that two cut-off processes do not confirm each other

Cause: TestFresh passed with the age of a peer's confirmation dropped. With a pair cut off together the same mutant fails it (process 3 fresh after 8 s).

--- a/internal/document/follower_test.go
+++ b/internal/document/follower_test.go
@@ -72,9 +72,10 @@
 	followers []*document.Follower
 	spreads   []*document.Spread
 	ways      []*reach
-	cut       map[string]bool
-	mu        sync.Mutex
-	calls     int
+	// group is the part of a cut network that each process is in.
+	group []int
+	mu    sync.Mutex
+	calls int
 }
 
 // neighbours is one process's view of the mesh's members.
@@ -98,7 +99,13 @@
 func (n neighbours) Majority(time.Duration) bool {
 	n.mesh.mu.Lock()
 	defer n.mesh.mu.Unlock()
-	return !n.mesh.cut[strconv.Itoa(n.self)]
+	heard := 0
+	for _, group := range n.mesh.group {
+		if group == n.mesh.group[n.self] {
+			heard++
+		}
+	}
+	return 2*heard > len(n.mesh.group)
 }
 
 var errCut = errors.New("cut")
@@ -112,15 +119,12 @@
 func (c caller) Call(_ context.Context, address, method string, args, reply any) error {
 	c.mesh.mu.Lock()
 	c.mesh.calls++
-	cut := c.mesh.cut[address] || c.mesh.cut[strconv.Itoa(c.self)]
+	to, err := strconv.Atoi(address)
+	cut := err != nil || c.mesh.group[to] != c.mesh.group[c.self]
 	c.mesh.mu.Unlock()
 	if cut {
 		return errCut
 	}
-	var to int
-	if _, err := fmt.Sscan(address, &to); err != nil {
-		return err
-	}
 	server := document.NewServer(c.mesh.followers[to])
 	switch strings.TrimPrefix(method, "Document.") {
 	case "Push":
@@ -135,7 +139,7 @@
 func newMesh(processes int) *mesh {
 	m := &mesh{
 		history: &history{},
-		cut:     map[string]bool{},
+		group:   make([]int, processes),
 	}
 	for i := range processes {
 		way := &reach{
@@ -207,16 +211,24 @@
 			want:  true,
 		},
 		"cut off, within the promise": {
-			fault: func(m *mesh) { m.ways[last].cut, m.cut[strconv.Itoa(last)] = true, true },
+			fault: func(m *mesh) { m.ways[last].cut, m.group[last] = true, 1 },
 			after: 6 * time.Second,
 			want:  true,
 		},
 		"cut off": {
-			fault: func(m *mesh) { m.ways[last].cut, m.cut[strconv.Itoa(last)] = true, true },
+			fault: func(m *mesh) { m.ways[last].cut, m.group[last] = true, 1 },
+			after: 8 * time.Second,
+		},
+		"cut off with another": {
+			fault: func(m *mesh) {
+				for i := last - 1; i <= last; i++ {
+					m.ways[i].cut, m.group[i] = true, 1
+				}
+			},
 			after: 8 * time.Second,
 		},
 		"cut off in an outage": {
-			fault: func(m *mesh) { m.history.out, m.cut[strconv.Itoa(last)] = true, true },
+			fault: func(m *mesh) { m.history.out, m.group[last] = true, 1 },
 			after: 8 * time.Second,
 		},
 	}
@@ -235,7 +247,11 @@
 				m.history.mu.Unlock()
 				m.mu.Unlock()
 				time.Sleep(tt.after)
-				assert.Equal(t, m.fresh(last), tt.want)
+				for i := range m.followers {
+					if m.group[i] == m.group[last] {
+						assert.Equal(t, m.fresh(i), tt.want, "process %d", i)
+					}
+				}
 				cancel()
 				synctest.Wait()
 			})
@@ -258,7 +274,7 @@
 			m.history.mu.Lock()
 			for i := range m.followers {
 				m.ways[i].cut = (second/40+i)%3 != 0
-				m.cut[strconv.Itoa(i)] = (second/25+i)%2 == 0
+				m.group[i] = (second/25 + i) % 2
 			}
 			m.history.mu.Unlock()
 			m.mu.Unlock()
