Pass on at once that an endpoint leaves

Cause: a gateway knew of a leaving endpoint only from its own readings of the VM list, which lag; the directory forgot a leaving incarnation as soon as an older reading did not list it, and lots of a dispatcher whose endpoint left waited for ever.

An announcer tells twelve peers at once, which do the same, and exchanges all it knows with one peer a second. Leaving is sticky for an hour after it was last listed or first heard; ages travel, no clocks are compared. Grants at a leaving endpoint end, and a dispatcher that is the steward of no endpoint of the service hands its lots back as free. The stand-in's VM list can lag differently for each reader.

Ruled out: carrying the ids in every heartbeat, which all pairs exchange.

--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -135,6 +135,8 @@
 	}
 	done := len(r.items) > 0 && len(progress.Results) == len(r.items)
 	if !done && stored.Cancelled.IsZero() {
+		// Another dispatcher may go on from the progress.
+		r.lot.State = job.LotFree
 		_, err := r.dispatcher.store.Save(ctx, r.active.Job, r.lot, progress)
 		return err
 	}
--- /dev/null
+++ b/internal/endpoint/directory_test.go
@@ -0,0 +1,88 @@
+package endpoint
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/platform"
+)
+
+func listed(state platform.VMState) []platform.VM {
+	return []platform.VM{
+		{
+			Name:        "engine-0",
+			Incarnation: "1",
+			Address:     "127.70.0.1",
+			Port:        8000,
+			Service:     "beacon-assist",
+			State:       state,
+		},
+	}
+}
+
+func TestLeavingIsSticky(t *testing.T) {
+	replaced := listed(platform.VMLive)
+	replaced[0].Incarnation = "2"
+	cases := map[string]struct {
+		steps func(d *Directory)
+		want  int
+	}{
+		"never left": {
+			steps: func(d *Directory) { d.Update(listed(platform.VMLive)) },
+			want:  1,
+		},
+		"older list after the newer": {
+			steps: func(d *Directory) {
+				d.Update(listed(platform.VMLeaving))
+				d.Update(listed(platform.VMLive))
+			},
+		},
+		"older list after the end of the VM": {
+			steps: func(d *Directory) {
+				d.Update(listed(platform.VMLeaving))
+				d.Update(nil)
+				d.Update(listed(platform.VMLive))
+			},
+		},
+		"heard before it was listed": {
+			steps: func(d *Directory) {
+				d.Leave("engine-0/1")
+				d.Update(nil)
+				d.Update(listed(platform.VMLive))
+			},
+		},
+		"replacement": {
+			steps: func(d *Directory) {
+				d.Update(listed(platform.VMLeaving))
+				d.Update(replaced)
+			},
+			want: 1,
+		},
+		"too old to matter": {
+			steps: func(d *Directory) {
+				d.Update(listed(platform.VMLive))
+				d.Hear([]Departure{{ID: "engine-0/1", AgeMilliseconds: leavingKept.Milliseconds() + 1}})
+			},
+			want: 1,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			directory := NewDirectory()
+			told := 0
+			directory.OnLeave(func(ids []ID) { told += len(ids) })
+			c.steps(directory)
+			assert.Equal(t, len(directory.Serving("beacon-assist")), c.want)
+			assert.Equal(t, told, 1-len(directory.leavingMissing()), "told once")
+		})
+	}
+}
+
+// leavingMissing is one element long as long as the first incarnation is not known as leaving.
+func (d *Directory) leavingMissing() []ID {
+	if len(d.Departures()) == 0 {
+		return []ID{"engine-0/1"}
+	}
+	return nil
+}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -36,6 +36,7 @@
 	jobs      *job.Store
 	fleet     *fleet.Fleet
 	directory *endpoint.Directory
+	announcer *endpoint.Announcer
 	peers     *peer.Pool
 	server    *peer.Server
 	status    *telemetry.Status
@@ -97,6 +98,10 @@
 	b.jobs = job.NewStore(b.table, b.objects)
 	b.fleet = fleet.New(b.self, ports(s), platform.NewVMList(client, s.Platform.VMListURL), b.peers, log)
 	b.fleet.OnList(b.directory.Update)
+	b.announcer = endpoint.NewAnnouncer(b.directory, b.fleet, b.peers)
+	if err := b.server.Register("Endpoint", endpoint.NewService(b.directory)); err != nil {
+		return nil, err
+	}
 	if err := b.server.Register("Fleet", fleet.NewService(b.fleet)); err != nil {
 		return nil, err
 	}
@@ -252,6 +257,7 @@
 	}
 	b.drain(ctx, group)
 	add(group, b.follower.Run)
+	add(group, b.announcer.Run)
 	add(group, func(ctx context.Context) error {
 		timing := b.settings.Timing
 		return b.fleet.Run(ctx, time.Duration(timing.VMListPoll), time.Duration(timing.Heartbeat))
--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -30,6 +30,7 @@
 		return err
 	}
 	stewards := steward.New(b.directory, b.fleet, b.follower)
+	b.directory.OnLeave(stewards.Leave)
 	if err := b.server.Register("Steward", steward.NewService(stewards)); err != nil {
 		return err
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -65,42 +65,54 @@
 type VMList struct {
 	mu     sync.Mutex
 	lag    time.Duration
+	lags   map[string]time.Duration
 	past   []vmListState
 	faults *Faults
 }
 
 type vmListState struct {
-	since time.Time
-	vms   []platform.VM
+	set time.Time
+	vms []platform.VM
 }
 
 // NewVMList returns an empty list with the lag.
 func NewVMList(faults *Faults, lag time.Duration) *VMList {
 	return &VMList{
 		lag:    lag,
+		lags:   map[string]time.Duration{},
 		faults: faults,
 	}
 }
 
+// SetLag gives one reader a lag of its own; a reader names itself in the query of its URL, as in /vms?reader=vm-0.
+func (l *VMList) SetLag(reader string, lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lags[reader] = lag
+}
+
 // Set replaces the list; the first list is visible at once.
 func (l *VMList) Set(vms []platform.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	since := time.Now()
+	state := vmListState{
+		vms: vms,
+	}
 	if len(l.past) > 0 {
-		since = since.Add(l.lag)
+		state.set = time.Now()
 	}
-	l.past = append(l.past, vmListState{
-		since: since,
-		vms:   vms,
-	})
+	l.past = append(l.past, state)
 }
 
-func (l *VMList) visible() []platform.VM {
+func (l *VMList) visible(reader string) []platform.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	lag, own := l.lags[reader]
+	if !own {
+		lag = l.lag
+	}
 	for i := len(l.past) - 1; i >= 0; i-- {
-		if !l.past[i].since.After(time.Now()) {
+		if time.Since(l.past[i].set) >= lag {
 			return l.past[i].vms
 		}
 	}
@@ -108,8 +120,8 @@
 }
 
 // ServeHTTP answers with the list as it was a lag ago.
-func (l *VMList) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, l.visible())
+func (l *VMList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, l.visible(r.URL.Query().Get("reader")))
 }
 
 func (l *VMList) servePut(w http.ResponseWriter, r *http.Request) {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,13 +86,24 @@
 // waitPeriod is how often a waiting Acquire looks again without having been woken.
 const waitPeriod = 50 * time.Millisecond
 
-// Acquire waits for an idle slot of the service at an endpoint that is not in avoid.
+// ownerPatience is how long Acquire waits for an endpoint of the service to become this process's.
+const ownerPatience = time.Second
+
+// Acquire waits for an idle slot of the service, if it can be at an endpoint that is not in avoid.
+// ErrNotOwner means that other processes are the stewards of all the service's endpoints.
 func (s *Steward) Acquire(ctx context.Context, service document.ServiceName, avoid map[endpoint.ID]bool) (*Grant, error) {
+	owner := time.Now()
 	for {
 		grant, changed := s.try(ctx, service, avoid)
 		if grant != nil {
 			return grant, nil
 		}
+		if len(s.owned(service)) > 0 {
+			owner = time.Now()
+		}
+		if time.Since(owner) > ownerPatience {
+			return nil, ErrNotOwner
+		}
 		timer := time.NewTimer(waitPeriod)
 		select {
 		case <-ctx.Done():
@@ -112,6 +124,9 @@
 	owned := s.owned(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !slices.ContainsFunc(owned, func(candidate endpoint.Endpoint) bool { return !avoid[candidate.ID] }) {
+		avoid = nil
+	}
 	var best endpoint.Endpoint
 	most := 0
 	for _, candidate := range owned {
@@ -237,6 +252,18 @@
 	s.wake()
 }
 
+// Leave ends every grant at endpoints that are leaving.
+func (s *Steward) Leave(ids []endpoint.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		for _, grant := range s.of(id).grants {
+			grant.cancel()
+		}
+	}
+	s.wake()
+}
+
 // yield cancels the youngest grants that stand in the way of online requests.
 func (s *Steward) yield(id endpoint.ID) {
 	limit := s.limit(id)
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -119,6 +119,7 @@
 		},
 		MaxTokens: openai.Int(tokens),
 	})
+	defer func() { _ = stream.Close() }()
 	var answer strings.Builder
 	for stream.Next() {
 		for _, choice := range stream.Current().Choices {
