--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -37,6 +37,7 @@
 	jobs      *job.Store
 	fleet     *fleet.Fleet
 	directory *endpoint.Directory
+	announcer *endpoint.Announcer
 	peers     *peer.Pool
 	server    *peer.Server
 	status    *telemetry.Status
@@ -106,6 +107,10 @@
 	if err := b.server.Register("Document", document.NewServer(b.follower)); err != nil {
 		return nil, err
 	}
+	b.announcer = endpoint.NewAnnouncer(b.directory, b.fleet, b.peers)
+	if err := b.server.Register("Endpoint", endpoint.NewService(b.directory)); err != nil {
+		return nil, err
+	}
 	if err := b.server.Register("Fleet", fleet.NewService(b.fleet)); err != nil {
 		return nil, err
 	}
@@ -262,6 +267,7 @@
 	b.drain(ctx, group)
 	add(group, b.follower.Run)
 	add(group, b.spread.Run)
+	add(group, b.announcer.Run)
 	add(group, func(ctx context.Context) error {
 		timing := b.settings.Timing
 		return b.fleet.Run(ctx, time.Duration(timing.VMListPoll), time.Duration(timing.Heartbeat))
