Report every fault of the settings at once

Cause: a file with an unknown field hid its missing fields, because validation ran only on files without other faults; null was taken for the default; a number in place of a duration was answered with "want a whole number"; durations with nonsensical relations, ports given twice and the address 0.0.0.0 were accepted.

Now every field is validated unless it has a fault already, faults come in the order of their lines, a missing field is reported at the part that would hold it, and a target may check how its fields relate. Names with dots in maps (models such as beacon-7.1) are found at their lines.

--- /dev/null
+++ b/internal/job/intake_fuzz_test.go
@@ -0,0 +1,65 @@
+package job_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/platform"
+)
+
+// kept is an object store in memory that keeps puts in their order.
+type kept struct {
+	job.Objects
+	data bytes.Buffer
+	lots int
+}
+
+func (k *kept) Put(_ context.Context, _ platform.ObjectName, data []byte) error {
+	k.lots++
+	_, err := k.data.Write(data)
+	return err
+}
+
+func (k *kept) Open(context.Context, platform.ObjectName) (io.ReadCloser, error) {
+	return nil, platform.ErrNotFound
+}
+
+// FuzzIntake looks for input that breaks the intake, and for accepted files whose lots are not the input's items.
+func FuzzIntake(f *testing.F) {
+	const item = `{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":"m"}}`
+	for _, seed := range []string{
+		"", "\n\n", item, item + "\n" + item, strings.Replace(item, `"a"`, `"b"`, 1) + "\r\n\n" + item,
+		`{"custom_id":1}`, `{"custom_id":"a","method":"POST","url":"/services/booking/x","body":0}`, "null", "[", "\x00",
+	} {
+		f.Add(seed)
+	}
+	policy := document.StandardPolicy()
+	policy.LotItems = 2
+	f.Fuzz(func(t *testing.T, input string) {
+		objects := &kept{}
+		file, err := job.NewIntake(objects, policy, "lawinenwerk", "input").Read(context.Background(), strings.NewReader(input))
+		if err != nil {
+			assert.Assert(t, errors.Is(err, job.ErrInput), "%v", err)
+			return
+		}
+		assert.Equal(t, file.Lots, objects.lots)
+		lines := strings.Split(strings.TrimSuffix(objects.data.String(), "\n"), "\n")
+		assert.Equal(t, file.Items, len(lines))
+		ids := map[string]bool{}
+		for _, line := range lines {
+			var one job.Item
+			assert.NilError(t, json.Unmarshal([]byte(line), &one))
+			assert.Assert(t, one.CustomID != "" && !ids[one.CustomID])
+			ids[one.CustomID] = true
+		}
+	})
+}
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -2,11 +2,13 @@
 package jsonc
 
 import (
+	"cmp"
 	"encoding"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -43,6 +45,18 @@
 	return line
 }
 
+// Wrong is one thing wrong with a field, named by its path.
+type Wrong struct {
+	Field string
+	Wrong string
+	Want  string
+}
+
+// Checker is a target that checks how its fields relate.
+type Checker interface {
+	Check() []Wrong
+}
+
 // Decode decodes data into target, a pointer to a struct, and returns every fault; name stands for the file.
 func Decode(name string, data []byte, target any) Faults {
 	root, err := hujson.Parse(data)
@@ -51,20 +65,23 @@
 			{
 				File:  name,
 				Line:  syntaxLine(err),
-				Field: "(file)",
+				Field: rootField,
 				Wrong: strings.TrimPrefix(err.Error(), "hujson: "),
 				Want:  "JSON with comments",
 			},
 		}
 	}
 	d := &decoder{
-		file: name,
-		data: data,
+		file:   name,
+		data:   data,
+		faulty: map[string]bool{},
 	}
 	d.value("", &root, reflect.ValueOf(target).Elem())
-	if len(d.faults) == 0 {
-		d.validate(&root, target)
-	}
+	d.validate(&root, target)
+	d.check(&root, target)
+	slices.SortStableFunc(d.faults, func(a, b Fault) int {
+		return cmp.Compare(a.Line, b.Line)
+	})
 	return d.faults
 }
 
@@ -81,9 +98,18 @@
 	file   string
 	data   []byte
 	faults Faults
+	// faulty holds the paths of the faults, which are not validated again.
+	faulty map[string]bool
 }
 
+// rootField names the file as a whole.
+const rootField = "(file)"
+
 func (d *decoder) fault(field string, value *hujson.Value, wrong, want string) {
+	d.faulty[field] = true
+	if field == "" {
+		field = rootField
+	}
 	line := 1 + strings.Count(string(d.data[:min(value.StartOffset, len(d.data))]), "\n")
 	d.faults = append(d.faults, Fault{
 		File:  d.file,
@@ -129,7 +155,8 @@
 			continue
 		}
 		seen[name] = true
-		if _, ok := target.Type().FieldByName(name); !ok {
+		known, ok := target.Type().FieldByName(name)
+		if !ok || !known.IsExported() {
 			d.fault(path, &member.Name, "is not a known field", "one of "+fieldNames(target.Type()))
 			continue
 		}
@@ -141,16 +168,28 @@
 	if target.IsNil() {
 		target.Set(reflect.MakeMap(target.Type()))
 	}
+	seen := map[string]bool{}
 	for i := range object.Members {
 		member := &object.Members[i]
 		name := memberName(member)
 		entry := reflect.New(target.Type().Elem()).Elem()
-		d.value(join(field, name), &member.Value, entry)
+		path := field + "[" + name + "]"
+		if seen[name] {
+			d.fault(path, &member.Name, "is given twice", "it once")
+			continue
+		}
+		seen[name] = true
+		d.value(path, &member.Value, entry)
 		target.SetMapIndex(reflect.ValueOf(name).Convert(target.Type().Key()), entry)
 	}
 }
 
 func (d *decoder) leaf(field string, value *hujson.Value, target reflect.Value) {
+	literal, isLiteral := value.Value.(hujson.Literal)
+	if isLiteral && literal.Kind() == 'n' && target.Kind() != reflect.Slice {
+		d.fault(field, value, "is null", typeName(target.Type()))
+		return
+	}
 	standard := value.Clone()
 	standard.Standardize()
 	err := json.Unmarshal(standard.Pack(), target.Addr().Interface())
@@ -162,7 +201,11 @@
 		d.fault(field, value, "has the wrong type", typeName(target.Type()))
 		return
 	}
-	d.fault(field, value, "has a value that can't be used", err.Error())
+	_, want, found := strings.Cut(err.Error(), "want ")
+	if !found {
+		want = err.Error()
+	}
+	d.fault(field, value, "has the value "+strings.TrimSpace(value.String()), want)
 }
 
 func (d *decoder) validate(root *hujson.Value, target any) {
@@ -173,14 +216,51 @@
 	}
 	for _, wrong := range invalid {
 		_, path, _ := strings.Cut(wrong.StructNamespace(), ".")
-		where := root.Find(pointer(path))
-		if where == nil {
-			where = root
-			d.fault(path, where, "is missing or out of range", expectation(wrong))
-			continue
+		said := fmt.Sprintf("has the value %v", wrong.Value())
+		if root.Find(pointer(path)) == nil {
+			said = "is missing"
+		}
+		d.wrong(root, Wrong{
+			Field: path,
+			Wrong: said,
+			Want:  expectation(wrong),
+		})
+	}
+}
+
+// check reports what the target itself finds wrong with how its fields relate.
+func (d *decoder) check(root *hujson.Value, target any) {
+	checker, ok := target.(Checker)
+	if !ok {
+		return
+	}
+	for _, wrong := range checker.Check() {
+		d.wrong(root, wrong)
+	}
+}
+
+// wrong reports a fault at its field, or at the nearest part of the file that would hold the field.
+func (d *decoder) wrong(root *hujson.Value, wrong Wrong) {
+	if d.reported(wrong.Field) {
+		return
+	}
+	at := pointer(wrong.Field)
+	where := root.Find(at)
+	for where == nil {
+		at = at[:strings.LastIndexByte(at, '/')]
+		where = root.Find(at)
+	}
+	d.fault(wrong.Field, where, wrong.Wrong, wrong.Want)
+}
+
+// reported reports whether the path, or a part that holds it, has a fault already.
+func (d *decoder) reported(path string) bool {
+	for faulty := range d.faulty {
+		if faulty == "" || pointer(path) == pointer(faulty) || strings.HasPrefix(pointer(path), pointer(faulty)+"/") {
+			return true
 		}
-		d.fault(path, where, fmt.Sprintf("has the value %v", wrong.Value()), expectation(wrong))
 	}
+	return false
 }
 
 func expectation(wrong validator.FieldError) string {
@@ -195,6 +275,8 @@
 		return "one of " + wrong.Param()
 	case "min", "gte":
 		return "at least " + wrong.Param()
+	case "ltfield":
+		return "less than " + wrong.Param()
 	case "max", "lte":
 		return "at most " + wrong.Param()
 	case "gt":
@@ -203,9 +285,29 @@
 	return strings.TrimSpace(wrong.Tag() + " " + wrong.Param())
 }
 
+// pointer turns a path such as Entries[beacon-7.1].Slots into a JSON pointer; a name in brackets is one part.
 func pointer(path string) string {
-	path = strings.NewReplacer("[", ".", "]", "").Replace(path)
-	return "/" + strings.ReplaceAll(path, ".", "/")
+	var into strings.Builder
+	inName := false
+	into.WriteByte('/')
+	for _, r := range path {
+		switch {
+		case r == '[' && !inName:
+			inName = true
+			into.WriteByte('/')
+		case r == ']' && inName:
+			inName = false
+		case r == '.' && !inName:
+			into.WriteByte('/')
+		case r == '~':
+			into.WriteString("~0")
+		case r == '/':
+			into.WriteString("~1")
+		default:
+			into.WriteRune(r)
+		}
+	}
+	return into.String()
 }
 
 func memberName(member *hujson.ObjectMember) string {
@@ -232,6 +334,9 @@
 }
 
 func typeName(t reflect.Type) string {
+	if reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
+		return "a string"
+	}
 	switch t.Kind() {
 	case reflect.String:
 		return "a string"
