Operators' command line through pkg/client, and explain across the fleet

Tokens come from a file or the environment, never from arguments, which other users of a VM can read.

Cause of the rest: wrong arguments and unknown commands ended with 1, not 2; explain had notes in each process but nobody gathered them. The controller now asks every member alive or listed, 64 at once, for at most 2 s, and names those that did not answer; only the operator's token may ask, as notes cross organisations.

Seen failing first: without the list of silent members, TestCommandLine/job; without marking argument errors, TestExitCodes (unknown command, of a group, missing argument, unknown flag); with a change id that differs from the one given, TestCommandLine/document.

The tests in test\/ start a built binary, which the cache of go test does not see: mutants were run with -count=1.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,11 +5,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"rhubarbrudder/pkg/client"
 )
 
 // Version is the version that the command prints; the build may set it.
@@ -19,37 +23,88 @@
 	exitOK = iota
 	exitFailed
 	exitUsage
+	exitRefused
+	exitUnavailable
 )
 
 // errUsage marks an error of the command line or of a settings file.
 var errUsage = errors.New("cli: usage")
 
+const exitCodes = `Exit codes:
+  0  done
+  1  failed
+  2  wrong usage, or a fault in a file
+  3  refused: stale, forbidden, invalid, unknown or over a limit
+  4  unavailable, or the outcome is unknown`
+
 // Main runs the command line and returns the exit code.
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	return Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+// Run runs the command line with the arguments and returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return exitOK
 	}
-	fmt.Fprintln(os.Stderr, "Error:", err)
-	if errors.Is(err, errUsage) {
+	_, _ = fmt.Fprintln(errOut, "Error:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var failure *client.Failure
+	switch {
+	case errors.Is(err, errUsage):
 		return exitUsage
+	case errors.Is(err, client.ErrUnavailable):
+		return exitUnavailable
+	case errors.As(err, &failure) && failure.Status < http.StatusInternalServerError:
+		return exitRefused
 	}
 	return exitFailed
 }
 
 func newRoot() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "rhubarbrudder",
-		Short:         "Serve online and batch inference on one fleet",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
+	root := newGroup("rhubarbrudder", "Serve online and batch inference on one fleet",
+		newGateway(), newDispatcher(), newController(), newCheck(), newDemo(), newVersion(),
+		newDocument(), newJob(), newReport(), newExplain())
+	root.Long = root.Short + ".\n\n" + exitCodes
+	root.SilenceUsage = true
+	root.SilenceErrors = true
+	root.CompletionOptions.DisableDefaultCmd = true
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return errors.Join(errUsage, err)
 	})
-	root.AddCommand(newGateway(), newDispatcher(), newController(), newCheck(), newDemo(), newVersion())
 	return root
 }
+
+// newGroup returns a command that only holds others.
+func newGroup(use, short string, commands ...*cobra.Command) *cobra.Command {
+	group := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return cmd.Help()
+		},
+	}
+	group.AddCommand(commands...)
+	return group
+}
+
+// usage marks the errors of an argument check as wrong usage.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return errors.Join(errUsage, err)
+		}
+		return nil
+	}
+}
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -12,7 +12,7 @@
 		Use:     "demo",
 		Short:   "Run the whole system and stand-ins in one process on loopback",
 		Example: "  rhubarbrudder demo\n  rhubarbrudder demo --stay",
-		Args:    cobra.NoArgs,
+		Args:    usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			options.Out = cmd.OutOrStdout()
 			return demo.Run(cmd.Context(), options)
--- /dev/null
+++ b/internal/cli/progress.go
@@ -0,0 +1,54 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+)
+
+// progress is a progress bar on a terminal, and nothing elsewhere.
+type progress struct {
+	bar *progressbar.ProgressBar
+}
+
+func newProgress(cmd *cobra.Command, most int64, label string, bytes bool) *progress {
+	file, ok := cmd.ErrOrStderr().(*os.File)
+	if !ok || !terminal(file) {
+		return &progress{}
+	}
+	return &progress{
+		bar: progressbar.NewOptions64(most,
+			progressbar.OptionSetDescription(label),
+			progressbar.OptionSetWriter(file),
+			progressbar.OptionShowBytes(bytes),
+			progressbar.OptionShowCount(),
+			progressbar.OptionClearOnFinish()),
+	}
+}
+
+func terminal(file *os.File) bool {
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// reader returns input, whose reading moves the bar.
+func (p *progress) reader(input io.Reader) io.Reader {
+	if p.bar == nil {
+		return input
+	}
+	return io.TeeReader(input, p.bar)
+}
+
+func (p *progress) set(done int64) {
+	if p.bar != nil {
+		_ = p.bar.Set64(done)
+	}
+}
+
+func (p *progress) finish() {
+	if p.bar != nil {
+		_ = p.bar.Finish()
+	}
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -34,7 +34,7 @@
 		Use:     name + " --settings FILE",
 		Short:   short,
 		Example: "  rhubarbrudder " + name + " --settings vm.jsonc",
-		Args:    cobra.NoArgs,
+		Args:    usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			loaded, err := settings.Load(file)
 			if err != nil {
@@ -47,27 +47,11 @@
 	return command
 }
 
-func newCheck() *cobra.Command {
-	return &cobra.Command{
-		Use:     "check FILE",
-		Short:   "Check a settings file and start nothing",
-		Example: "  rhubarbrudder check vm.jsonc",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if _, err := settings.Load(args[0]); err != nil {
-				return errors.Join(errUsage, err)
-			}
-			_, err := fmt.Fprintln(cmd.OutOrStdout(), args[0]+": no faults")
-			return err
-		},
-	}
-}
-
 func newVersion() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
 		Short: "Print the version",
-		Args:  cobra.NoArgs,
+		Args:  usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			_, err := fmt.Fprintln(cmd.OutOrStdout(), "rhubarbrudder", Version)
 			return err
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,6 +33,7 @@
 // Members lists the processes alive.
 type Members interface {
 	Alive(role fleet.Role) []fleet.Member
+	Listed() []fleet.Member
 }
 
 // Directory lists the endpoints that take new work.
@@ -46,6 +47,8 @@
 	store     Store
 	members   Members
 	directory Directory
+	peers     Peers
+	jobs      Jobs
 	root      document.Hash
 	log       *slog.Logger
 }
@@ -56,6 +59,8 @@
 	Store     Store
 	Members   Members
 	Directory Directory
+	Peers     Peers
+	Jobs      Jobs
 	// Root is the hash of the token that may change every section.
 	Root document.Hash
 	Log  *slog.Logger
@@ -68,6 +73,8 @@
 		store:     parts.Store,
 		members:   parts.Members,
 		directory: parts.Directory,
+		peers:     parts.Peers,
+		jobs:      parts.Jobs,
 		root:      parts.Root,
 		log:       parts.Log,
 	}
@@ -80,6 +87,7 @@
 	mux.HandleFunc("PUT /document/{section}", c.as(c.servePut))
 	mux.HandleFunc("GET /history", c.as(c.serveHistory))
 	mux.HandleFunc("GET /fleet", c.as(c.serveFleet))
+	mux.HandleFunc("GET /explain/{id...}", c.as(c.serveExplain))
 	return mux
 }
 
--- /dev/null
+++ b/internal/controller/explain.go
@@ -0,0 +1,116 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/explain"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/job"
+)
+
+// Jobs finds jobs of any organisation.
+type Jobs interface {
+	Lookup(ctx context.Context, id job.ID) (found job.Job, lotsDone int, err error)
+	Active(ctx context.Context) ([]job.ActiveRow, error)
+}
+
+// Explanation is what the processes noted about a subject.
+type Explanation struct {
+	Subject explain.Subject
+	// Job is set if the subject is a job.
+	Job   *JobState `json:",omitempty"`
+	Notes []explain.Note
+	// Silent names the processes that did not answer.
+	Silent []string
+}
+
+// JobState is a job as the platform keeps it.
+type JobState struct {
+	ID           job.ID
+	Organisation document.OrganisationID
+	Service      document.ServiceName
+	State        job.State
+	Items        int
+	Completed    int
+	Failed       int
+	LotsDone     int
+	Lots         int
+	Created      time.Time
+	Due          time.Time
+	Ended        time.Time
+}
+
+// serveExplain gathers the notes of all processes about a subject.
+func (c *Controller) serveExplain(w http.ResponseWriter, r *http.Request, token document.Hash) {
+	if !same(token, c.root) {
+		// A section's owner may not see what callers of every organisation did.
+		writeJSON(w, http.StatusForbidden, Failure{
+			Code:    "Forbidden",
+			Message: "only the operator's token may ask for explanations",
+		})
+		return
+	}
+	subject := explain.Subject(r.PathValue("id"))
+	body := Explanation{
+		Subject: subject,
+	}
+	body.Notes, body.Silent = c.notesAbout(r.Context(), subject)
+	state, err := c.jobState(r.Context(), job.ID(subject))
+	if err != nil && !errors.Is(err, job.ErrNotFound) {
+		body.Silent = append(body.Silent, "the platform's table: "+err.Error())
+	}
+	body.Job = state
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (c *Controller) notesAbout(ctx context.Context, subject explain.Subject) ([]explain.Note, []string) {
+	var mu sync.Mutex
+	notes := []explain.Note{}
+	members := c.expected(fleet.RoleGateway, fleet.RoleDispatcher, fleet.RoleController)
+	silent := gather(ctx, members, func(ctx context.Context, member fleet.Member) error {
+		var answer explain.Answer
+		err := c.peers.Call(ctx, member.Address, explain.MethodAbout, explain.Query{
+			Subject: subject,
+		}, &answer)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		notes = append(notes, answer.Notes...)
+		return nil
+	})
+	slices.SortStableFunc(notes, func(a, b explain.Note) int {
+		return a.At.Compare(b.At)
+	})
+	return notes, silent
+}
+
+func (c *Controller) jobState(ctx context.Context, id job.ID) (*JobState, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	found, done, err := c.jobs.Lookup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return &JobState{
+		ID:           found.ID,
+		Organisation: found.Organisation,
+		Service:      found.Service,
+		State:        found.State,
+		Items:        found.Items,
+		Completed:    found.Counts.Completed,
+		Failed:       found.Counts.Failed,
+		LotsDone:     done,
+		Lots:         found.Lots,
+		Created:      found.Created,
+		Due:          found.Due,
+		Ended:        found.Ended,
+	}, nil
+}
--- /dev/null
+++ b/internal/controller/gather.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbrudder/internal/fleet"
+)
+
+// Peers calls the other processes.
+type Peers interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+const (
+	// gatherTimeout bounds how long a report waits for the members.
+	gatherTimeout = 2 * time.Second
+	// gatherAtOnce bounds how many members are asked at once.
+	gatherAtOnce = 64
+)
+
+// gather asks every member and returns the names of those that did not answer. The function ask runs for several
+// members at once.
+func gather(ctx context.Context, members []fleet.Member, ask func(ctx context.Context, member fleet.Member) error) []string {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var silent []string
+	group := &errgroup.Group{}
+	group.SetLimit(gatherAtOnce)
+	for _, member := range members {
+		group.Go(func() error {
+			if err := ask(ctx, member); err != nil {
+				mu.Lock()
+				silent = append(silent, string(member.Role)+"/"+string(member.VM))
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.Sort(silent)
+	return silent
+}
+
+// expected returns the processes of the roles that are alive or that the VM list lets expect, once an address.
+func (c *Controller) expected(roles ...fleet.Role) []fleet.Member {
+	var members []fleet.Member
+	known := map[string]bool{}
+	add := func(member fleet.Member) {
+		if slices.Contains(roles, member.Role) && !known[member.Address] {
+			known[member.Address] = true
+			members = append(members, member)
+		}
+	}
+	for _, role := range roles {
+		for _, member := range c.members.Alive(role) {
+			add(member)
+		}
+	}
+	for _, member := range c.members.Listed() {
+		add(member)
+	}
+	return members
+}
--- /dev/null
+++ b/internal/job/lookup.go
@@ -0,0 +1,20 @@
+package job
+
+import "context"
+
+// Lookup returns a job of any organisation with the counts of its lots that are done; it is for operators only.
+func (s *Store) Lookup(ctx context.Context, id ID) (found Job, lotsDone int, err error) {
+	found, _, err = s.jobRow(ctx, id)
+	if err != nil {
+		return Job{}, 0, err
+	}
+	lots, err := s.Lots(ctx, id)
+	if err != nil {
+		return Job{}, 0, err
+	}
+	counts, done, _ := Tally(lots)
+	if !found.State.Ended() {
+		found.Counts = counts
+	}
+	return found, done, nil
+}
--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -34,6 +34,8 @@
 		Store:     b.store,
 		Members:   b.fleet,
 		Directory: b.directory,
+		Peers:     b.peers,
+		Jobs:      b.jobs,
 		Root:      document.Hash(strings.TrimSpace(string(token))),
 		Log:       b.log,
 	})
--- /dev/null
+++ b/pkg/client/caller.go
@@ -0,0 +1,162 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+// Caller is a callers' client of a gateway, for batch jobs. Completions are for any OpenAI-style client.
+type Caller struct {
+	connection
+}
+
+// NewCaller returns a client of the gateway at the URL.
+func NewCaller(client *http.Client, url, key string) *Caller {
+	return &Caller{
+		connection: newConnection(client, url, key, callerFailure),
+	}
+}
+
+func callerFailure(status int, data []byte) *Failure {
+	var body struct {
+		Error struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	failure := &Failure{
+		Status:  status,
+		Code:    http.StatusText(status),
+		Message: string(data),
+	}
+	if err := json.Unmarshal(data, &body); err == nil && body.Error.Code != "" {
+		failure.Code = body.Error.Code
+		failure.Message = body.Error.Message
+	}
+	return failure
+}
+
+// File is an uploaded file.
+type File struct {
+	ID    string `json:"id"`
+	Bytes int64  `json:"bytes"`
+}
+
+// Batch is a batch job.
+type Batch struct {
+	ID            string      `json:"id"`
+	Endpoint      string      `json:"endpoint"`
+	Status        string      `json:"status"`
+	OutputFileID  string      `json:"output_file_id,omitempty"`
+	ErrorFileID   string      `json:"error_file_id,omitempty"`
+	CreatedAt     int64       `json:"created_at"`
+	ExpiresAt     int64       `json:"expires_at"`
+	RequestCounts BatchCounts `json:"request_counts"`
+}
+
+// BatchCounts counts a job's items.
+type BatchCounts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+// Ended reports whether nothing of the job runs any more.
+func (b Batch) Ended() bool {
+	switch b.Status {
+	case "completed", "cancelled", "failed", "expired":
+		return true
+	}
+	return false
+}
+
+// NewBatch is what a job is made from.
+type NewBatch struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata,omitempty"`
+}
+
+// Upload stores a file of batch items as it is read.
+func (c *Caller) Upload(ctx context.Context, name string, input io.Reader) (File, error) {
+	reader, writer := io.Pipe()
+	form := multipart.NewWriter(writer)
+	go func() {
+		writer.CloseWithError(writeForm(form, name, input))
+	}()
+	defer func() { _ = reader.Close() }()
+	var file File
+	request := c.base.New().Post("/v1/files").Set("Content-Type", form.FormDataContentType()).Body(reader)
+	err := c.do(ctx, request, &file)
+	return file, err
+}
+
+func writeForm(form *multipart.Writer, name string, input io.Reader) error {
+	if err := form.WriteField("purpose", "batch"); err != nil {
+		return err
+	}
+	part, err := form.CreateFormFile("file", name)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(part, input); err != nil {
+		return err
+	}
+	return form.Close()
+}
+
+// createAttempts is how often a creation whose outcome is unknown is repeated; its key makes repeats harmless.
+const createAttempts = 5
+
+// Create makes a job. The key names it: creating it again returns the same job.
+func (c *Caller) Create(ctx context.Context, made NewBatch, key string) (Batch, error) {
+	var batch Batch
+	var err error
+	for range createAttempts {
+		err = c.do(ctx, c.base.New().Post("/v1/batches").Set("Idempotency-Key", key).BodyJSON(made), &batch)
+		var failure *Failure
+		if err == nil || ctx.Err() != nil || !errors.As(err, &failure) || failure.Code != "outcome_unknown" {
+			break
+		}
+	}
+	return batch, err
+}
+
+// Batch returns a job.
+func (c *Caller) Batch(ctx context.Context, id string) (Batch, error) {
+	var batch Batch
+	err := c.do(ctx, c.base.New().Get("/v1/batches/"+url.PathEscape(id)), &batch)
+	return batch, err
+}
+
+// Batches returns up to limit jobs after the given one, and whether there are more.
+func (c *Caller) Batches(ctx context.Context, after string, limit int) ([]Batch, bool, error) {
+	var list struct {
+		Data    []Batch `json:"data"`
+		HasMore bool    `json:"has_more"`
+	}
+	query := url.Values{}
+	query.Set("after", after)
+	query.Set("limit", strconv.Itoa(limit))
+	err := c.do(ctx, c.base.New().Get("/v1/batches?"+query.Encode()), &list)
+	return list.Data, list.HasMore, err
+}
+
+// Cancel stops a job.
+func (c *Caller) Cancel(ctx context.Context, id string) (Batch, error) {
+	var batch Batch
+	err := c.do(ctx, c.base.New().Post("/v1/batches/"+url.PathEscape(id)+"/cancel"), &batch)
+	return batch, err
+}
+
+// Content returns a file's content, which the caller closes.
+func (c *Caller) Content(ctx context.Context, file string) (io.ReadCloser, error) {
+	return c.open(ctx, c.base.New().Get("/v1/files/"+url.PathEscape(file)+"/content"))
+}
--- /dev/null
+++ b/pkg/client/operator.go
@@ -0,0 +1,149 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Operator is an operators' client of a controller.
+type Operator struct {
+	connection
+}
+
+// NewOperator returns a client of the controller at the URL.
+func NewOperator(client *http.Client, url, token string) *Operator {
+	return &Operator{
+		connection: newConnection(client, url, token, operatorFailure),
+	}
+}
+
+func operatorFailure(status int, data []byte) *Failure {
+	failure := &Failure{}
+	if err := json.Unmarshal(data, failure); err != nil || failure.Code == "" {
+		failure.Code = http.StatusText(status)
+		failure.Message = string(data)
+	}
+	failure.Status = status
+	return failure
+}
+
+// Section is a section of the document at a version.
+type Section struct {
+	Name     string
+	Version  int64
+	Revision int64
+	Entries  map[string]json.RawMessage
+}
+
+// Change is an accepted change of a section.
+type Change struct {
+	ID       string
+	Section  string
+	Base     int64
+	Set      map[string]json.RawMessage
+	Remove   []string
+	Revision int64
+	Author   string
+	Accepted time.Time
+}
+
+// Section returns the section in force.
+func (o *Operator) Section(ctx context.Context, name string) (Section, error) {
+	var section Section
+	err := o.do(ctx, o.base.New().Get("/document/"+url.PathEscape(name)), &section)
+	return section, err
+}
+
+// putAttempts is how often a put whose outcome is unknown is repeated; the change's id makes repeats harmless.
+const putAttempts = 5
+
+// Put makes the section's entries those given, if the section still has the version. The id names the change: putting
+// it again changes nothing more.
+func (o *Operator) Put(ctx context.Context, section Section, id string) (Change, error) {
+	body := struct {
+		Entries map[string]json.RawMessage
+	}{
+		Entries: section.Entries,
+	}
+	var change Change
+	var err error
+	for range putAttempts {
+		request := o.base.New().Put("/document/"+url.PathEscape(section.Name)).
+			Set("If-Match", strconv.Quote(strconv.FormatInt(section.Version, 10))).
+			Set("Idempotency-Key", id).
+			BodyJSON(body)
+		err = o.do(ctx, request, &change)
+		var failure *Failure
+		if err == nil || ctx.Err() != nil || !errors.As(err, &failure) || failure.Status != http.StatusGatewayTimeout {
+			break
+		}
+	}
+	return change, err
+}
+
+// History returns changes accepted after the revision, oldest first.
+func (o *Operator) History(ctx context.Context, after int64) ([]Change, error) {
+	var changes []Change
+	err := o.do(ctx, o.base.New().Get("/history?after="+strconv.FormatInt(after, 10)), &changes)
+	return changes, err
+}
+
+// Get returns the answer to a GET of the path in its own JSON.
+func (o *Operator) Get(ctx context.Context, path string) (json.RawMessage, error) {
+	var answer json.RawMessage
+	err := o.do(ctx, o.base.New().Get(path), &answer)
+	return answer, err
+}
+
+// Fact is one piece of the evidence of a decision.
+type Fact struct {
+	Name  string
+	Value string
+}
+
+// Note is one decision of a process.
+type Note struct {
+	At       time.Time
+	By       string
+	Subject  string
+	Decision string
+	Evidence []Fact
+}
+
+// Explanation is what the processes noted about a subject.
+type Explanation struct {
+	Subject string
+	// Job is set if the subject is a job.
+	Job   *JobState
+	Notes []Note
+	// Silent names the processes that did not answer.
+	Silent []string
+}
+
+// JobState is a job as the platform keeps it.
+type JobState struct {
+	ID           string
+	Organisation string
+	Service      string
+	State        string
+	Items        int
+	Completed    int
+	Failed       int
+	LotsDone     int
+	Lots         int
+	Created      time.Time
+	Due          time.Time
+	Ended        time.Time
+}
+
+// Explain returns what was decided about a request, job, lot, item, endpoint or revision.
+func (o *Operator) Explain(ctx context.Context, id string) (Explanation, error) {
+	var explanation Explanation
+	err := o.do(ctx, o.base.New().Get("/explain/"+url.PathEscape(id)), &explanation)
+	return explanation, err
+}
--- /dev/null
+++ b/test/product_cli_test.go
@@ -0,0 +1,158 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/pkg/client"
+)
+
+// commandLine runs the built binary as an operator of the cluster.
+type commandLine struct {
+	t *testing.T
+	c *cluster
+}
+
+// ran is what a run of the binary printed.
+type ran struct {
+	code   int
+	out    string
+	errOut string
+}
+
+func (l commandLine) run(args ...string) ran {
+	l.t.Helper()
+	folder, err := binaries()
+	assert.NilError(l.t, err)
+	command := exec.Command(filepath.Join(folder, "rhubarbrudder"), args...)
+	command.Env = append(os.Environ(), "RHUBARBRUDDER_TOKEN="+testToken, "RHUBARBRUDDER_KEY="+testKey)
+	var out, errOut bytes.Buffer
+	command.Stdout, command.Stderr = &out, &errOut
+	err = command.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		l.t.Fatal(err)
+	}
+	return ran{
+		code:   command.ProcessState.ExitCode(),
+		out:    out.String(),
+		errOut: errOut.String(),
+	}
+}
+
+func (l commandLine) controller(args ...string) ran {
+	l.t.Helper()
+	return l.run(append(args, "--controller", "http://"+l.c.address(11, 8090))...)
+}
+
+func (l commandLine) gateway(args ...string) ran {
+	l.t.Helper()
+	return l.run(append(args, "--gateway", l.c.gatewayURL(0))...)
+}
+
+func (l commandLine) file(name, text string) string {
+	l.t.Helper()
+	path := filepath.Join(l.c.folder, name)
+	assert.NilError(l.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// TestCommandLine drives a cluster by the binary's commands, and checks what they print and their exit codes.
+func TestCommandLine(t *testing.T) {
+	t.Parallel()
+	options := defaultCluster(110)
+	options.vms = 2
+	c := newCluster(t, options)
+	line := commandLine{
+		t: t,
+		c: c,
+	}
+	t.Run("document", line.document)
+	t.Run("job", line.job)
+	t.Run("faults start nothing", line.faults)
+}
+
+func (l commandLine) document(t *testing.T) {
+	l.t = t
+	got := l.controller("document", "get", "Capacity")
+	assert.Equal(t, got.code, 0, got.errOut)
+	edited := strings.Replace(got.out, `"Slots": 64`, `"Slots": /* one more */ 65`, 1)
+	assert.Assert(t, edited != got.out, got.out)
+	path := l.file("capacity.jsonc", edited)
+	assert.Equal(t, l.run("check", path).code, 0)
+	diff := l.controller("document", "diff", path)
+	assert.Equal(t, diff.code, 0, diff.errOut)
+	assert.Assert(t, strings.Contains(diff.out, "~ booking"), diff.out)
+
+	put := l.controller("document", "put", path, "--change-id", "one-more-slot")
+	assert.Equal(t, put.code, 0, put.errOut)
+	assert.Assert(t, strings.Contains(put.out, "accepted: change one-more-slot of Capacity, revision 5"), put.out)
+	again := l.controller("document", "put", path, "--change-id", "one-more-slot")
+	assert.Equal(t, again.out, put.out)
+
+	other := l.file("other.jsonc", strings.Replace(got.out, `"Slots": 64`, `"Slots": 66`, 1))
+	stale := l.controller("document", "put", other)
+	assert.Equal(t, stale.code, 3, stale.errOut)
+	assert.Assert(t, strings.Contains(stale.errOut, "Capacity is at version 2, the file was made from 1"), stale.errOut)
+	assert.Assert(t, strings.Contains(stale.errOut, "~ booking"), stale.errOut)
+
+	history := l.controller("document", "history", "--output", "json", "--after", "4")
+	assert.Equal(t, history.code, 0, history.errOut)
+	var changes []client.Change
+	assert.NilError(t, json.Unmarshal([]byte(history.out), &changes))
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].ID, "one-more-slot")
+}
+
+func (l commandLine) job(t *testing.T) {
+	l.t = t
+	input := l.file("items.jsonl", batchInput(5, 2, func(int) string { return "sheet" }))
+	submitted := l.gateway("job", "submit", input, "--wait", "--output", "json")
+	assert.Equal(t, submitted.code, 0, submitted.errOut)
+	var batch client.Batch
+	assert.NilError(t, json.Unmarshal([]byte(submitted.out), &batch))
+	assert.Equal(t, batch.Status, "completed")
+	assert.Equal(t, batch.RequestCounts.Completed, 5)
+	results := l.gateway("job", "results", batch.ID)
+	assert.Equal(t, strings.Count(results.out, "\n"), 5, results.errOut)
+	for _, command := range []string{"show", "cancel"} {
+		got := l.gateway("job", command, batch.ID)
+		assert.Equal(t, got.code, 0, got.errOut)
+		assert.Assert(t, strings.Contains(got.out, batch.ID))
+	}
+	assert.Assert(t, strings.Contains(l.gateway("job", "list").out, batch.ID))
+	assert.Equal(t, l.gateway("job", "show", "batch_none").code, 3)
+
+	l.c.signal(fleet.RoleDispatcher, 1, syscall.SIGKILL)
+	l.c.waitExit(fleet.RoleDispatcher, 1)
+	explained := l.controller("explain", batch.ID)
+	assert.Equal(t, explained.code, 0, explained.errOut)
+	assert.Assert(t, strings.Contains(explained.out, "Job "+batch.ID+" of lawinenwerk, service beacon-assist: Completed; 5 items, 5 completed"), explained.out)
+	assert.Assert(t, strings.Contains(explained.out, "no answer from Dispatcher/vm-1"), explained.out)
+	assert.Assert(t, !strings.Contains(explained.out, "no answer from Gateway"), explained.out)
+}
+
+// faults starts a process with a faulty settings file.
+func (l commandLine) faults(t *testing.T) {
+	l.t = t
+	data, err := os.ReadFile(l.c.settingsFile(0))
+	assert.NilError(t, err)
+	text := strings.Replace(string(data), `"Heartbeat": "500ms"`, `"Heartbeat": "1h"`, 1)
+	text = strings.Replace(text, `"Name": "vm-0"`, `"Nickname": "vm-0"`, 1)
+	got := l.run("gateway", "--settings", l.file("faulty.jsonc", text))
+	assert.Equal(t, got.code, 2)
+	for _, want := range []string{"VM.Nickname: is not a known field", "VM.Name: is missing", "Timing.Heartbeat: has the value 1h0m0s"} {
+		assert.Assert(t, strings.Contains(got.errOut, want), got.errOut)
+	}
+	assert.Assert(t, !strings.Contains(got.errOut, "started"))
+}
