Report on service-level burn and on fairness

Cause: nothing told an operator how fast a service misses its objectives, or that one organisation is served worse than the rest. A router that wraps the gateway's router times each answer's first token and gaps and counts them against the service's objectives in force; a limiter that wraps the limiter counts refusals. The gateway's own code is not touched. Counts are kept per organisation and service in rings of five slots for 5 min, 1 h, 6 h and 3 d and a histogram of first tokens for the last minutes; a controller gathers them by Burn.Counts and says who did not answer.

Weighed: a list of events (unbounded), one fine ring for all windows (864 slots an organisation at 5 minutes), decaying averages (small, but no counts to check against). Rings of five slots count a window and up to a quarter more.

Not there yet: batch jobs count only while they are late and running; harm by batch to the tail is seen in the first token's objective, not told apart from other causes.

--- /dev/null
+++ b/internal/burn/watch.go
@@ -0,0 +1,157 @@
+package burn
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/organisation"
+	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/router"
+)
+
+// Router passes a request's answer to a sink.
+type Router interface {
+	Do(ctx context.Context, req request.Request, ticket *request.Ticket, sink router.Sink) error
+}
+
+// Document is the view in force.
+type Document interface {
+	View() *document.View
+}
+
+// Observer takes the requests that have ended.
+type Observer interface {
+	Observe(sample Sample)
+}
+
+// Watch is a router that measures the answers of another.
+type Watch struct {
+	router   Router
+	document Document
+	observer Observer
+}
+
+// NewWatch returns a router that measures what the given one passes on.
+func NewWatch(router Router, document Document, observer Observer) *Watch {
+	return &Watch{
+		router:   router,
+		document: document,
+		observer: observer,
+	}
+}
+
+// Do passes the request's answer to the sink and counts how it compares with the service's objectives.
+func (w *Watch) Do(ctx context.Context, req request.Request, ticket *request.Ticket, sink router.Sink) error {
+	service := w.document.View().Services[req.Service]
+	timed := &timedSink{
+		Sink:    sink,
+		started: time.Now(),
+		between: time.Duration(service.TokenMilliseconds) * time.Millisecond,
+	}
+	err := w.router.Do(ctx, req, ticket, timed)
+	sample, counted := timed.sample(err, ctx.Err() != nil)
+	if !counted {
+		return err
+	}
+	sample.Key = Key{
+		Organisation: req.Organisation,
+		Service:      req.Service,
+	}
+	if limit := time.Duration(service.FirstTokenMilliseconds) * time.Millisecond; limit > 0 && sample.First > limit {
+		sample.Counts.SlowFirst = 1
+	}
+	w.observer.Observe(sample)
+	return err
+}
+
+// timedSink notes when the events of an answer are passed on.
+type timedSink struct {
+	router.Sink
+	started time.Time
+	first   time.Duration
+	last    time.Time
+	between time.Duration
+	tokens  uint32
+	slow    uint32
+}
+
+// Event notes the time and passes the event on.
+func (s *timedSink) Event(data []byte) error {
+	now := time.Now()
+	if s.first == 0 {
+		s.first = max(now.Sub(s.started), 1)
+	} else {
+		s.tokens++
+		if s.between > 0 && now.Sub(s.last) > s.between {
+			s.slow++
+		}
+	}
+	s.last = now
+	return s.Sink.Event(data)
+}
+
+// sample returns what the request counts as; a caller's own faults and its leaving do not count.
+func (s *timedSink) sample(err error, left bool) (Sample, bool) {
+	sample := Sample{
+		First: s.first,
+		Counts: Counts{
+			Tokens:     s.tokens,
+			SlowTokens: s.slow,
+		},
+	}
+	if s.first > 0 {
+		sample.Counts.First = 1
+	}
+	var refusal *request.Refusal
+	switch {
+	case err == nil:
+		sample.Counts.Answers = 1
+	case left:
+		return sample, false
+	case errors.As(err, &refusal) && refusal.Status < http.StatusInternalServerError && refusal.Status != http.StatusTooManyRequests:
+		return sample, false
+	case errors.As(err, &refusal) && refusal.NotRun():
+		sample.Counts.Refused = 1
+	default:
+		sample.Counts.Failed = 1
+	}
+	return sample, true
+}
+
+// Limiter holds organisations to their limits.
+type Limiter interface {
+	Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error)
+}
+
+// WatchLimiter is a limiter that counts the refusals of another.
+type WatchLimiter struct {
+	limiter  Limiter
+	observer Observer
+}
+
+// NewWatchLimiter returns a limiter that counts what the given one refuses.
+func NewWatchLimiter(limiter Limiter, observer Observer) *WatchLimiter {
+	return &WatchLimiter{
+		limiter:  limiter,
+		observer: observer,
+	}
+}
+
+// Enter counts a request in, or counts its refusal. The refusals are of no service.
+func (w *WatchLimiter) Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error) {
+	leave, err := w.limiter.Enter(id, limit, gateways)
+	if errors.Is(err, organisation.ErrOverLimit) {
+		w.observer.Observe(Sample{
+			Key: Key{
+				Organisation: id,
+			},
+			Counts: Counts{
+				Refused: 1,
+			},
+		})
+	}
+	return leave, err
+}
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"strings"
 
 	"github.com/tidwall/gjson"
@@ -45,6 +46,9 @@
 
 // plain returns a value as a person reads it.
 func plain(value gjson.Result) string {
+	if value.Type == gjson.Number && strings.Contains(value.Raw, ".") {
+		return strconv.FormatFloat(value.Num, 'f', 3, 64)
+	}
 	if !value.IsArray() {
 		return value.String()
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -87,6 +87,8 @@
 	mux.HandleFunc("PUT /document/{section}", c.as(c.servePut))
 	mux.HandleFunc("GET /history", c.as(c.serveHistory))
 	mux.HandleFunc("GET /fleet", c.as(c.serveFleet))
+	mux.HandleFunc("GET /report/burn", c.as(c.serveBurn))
+	mux.HandleFunc("GET /report/fairness", c.as(c.serveFairness))
 	mux.HandleFunc("GET /explain/{id...}", c.as(c.serveExplain))
 	return mux
 }
--- /dev/null
+++ b/internal/controller/report.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"rhubarbrudder/internal/burn"
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/fleet"
+)
+
+// mostOrganisations bounds the organisations that a process reports, those with the most misses first.
+const mostOrganisations = 500
+
+// counts gathers the counts of all gateways.
+func (c *Controller) counts(ctx context.Context, organisation document.OrganisationID) (*burn.Merged, []string) {
+	var mu sync.Mutex
+	merged := burn.NewMerged()
+	silent := gather(ctx, c.expected(fleet.RoleGateway), func(ctx context.Context, member fleet.Member) error {
+		var answer burn.Answer
+		err := c.peers.Call(ctx, member.Address, burn.MethodCounts, burn.Query{
+			Organisation: organisation,
+			Most:         mostOrganisations,
+		}, &answer)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		merged.Add(answer)
+		return nil
+	})
+	return merged, silent
+}
+
+func (c *Controller) serveBurn(w http.ResponseWriter, r *http.Request, _ document.Hash) {
+	merged, silent := c.counts(r.Context(), document.OrganisationID(r.URL.Query().Get("organisation")))
+	report := merged.Report(c.documents.View())
+	report.Silent = silent
+	late, err := c.lateJobs(r.Context(), time.Now())
+	if err != nil {
+		report.Silent = append(report.Silent, "the platform's table: "+err.Error())
+	}
+	report.LateJobs = append(report.LateJobs, late...)
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (c *Controller) serveFairness(w http.ResponseWriter, r *http.Request, _ document.Hash) {
+	merged, silent := c.counts(r.Context(), document.OrganisationID(r.URL.Query().Get("organisation")))
+	report := merged.Fairness()
+	report.Silent = silent
+	writeJSON(w, http.StatusOK, report)
+}
+
+// lateJobs returns the jobs past their due time that still run, the latest first.
+func (c *Controller) lateJobs(ctx context.Context, now time.Time) ([]burn.LateJob, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	active, err := c.jobs.Active(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var late []burn.LateJob
+	for _, row := range active {
+		if row.Cancelled || now.Before(row.Due) {
+			continue
+		}
+		late = append(late, burn.LateJob{
+			Job:          string(row.Job),
+			Organisation: row.Organisation,
+			Service:      row.Service,
+			Due:          row.Due,
+			LateSeconds:  int(now.Sub(row.Due).Seconds()),
+		})
+	}
+	slices.SortFunc(late, func(a, b burn.LateJob) int {
+		return a.Due.Compare(b.Due)
+	})
+	return late, nil
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/oklog/run"
 
+	"rhubarbrudder/internal/burn"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/gateway"
@@ -29,12 +31,17 @@
 	tracker := endpoint.NewTracker()
 	reporter := steward.NewReporter(tracker, b.fleet, b.peers)
 	picker := endpoint.NewPicker(b.directory, tracker, s.VM.FailureDomain)
+	counters := burn.NewCounters(time.Now)
+	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
+		return err
+	}
+	routes := router.New(picker, endpoint.NewClient(), reporter, b.notes, b.log)
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
-		Router:   router.New(picker, endpoint.NewClient(), reporter, b.notes, b.log),
+		Router:   burn.NewWatch(routes, b.follower, counters),
 		Jobs:     b.jobs,
-		Limiter:  organisation.NewLimiter(),
+		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
 		Log:      b.log,
 	})
 	group := &run.Group{}
--- /dev/null
+++ b/test/product_report_test.go
@@ -0,0 +1,82 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/burn"
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/fleet"
+)
+
+// TestReports lets a service miss its objective and one organisation run into its limit, and reads the reports.
+func TestReports(t *testing.T) {
+	t.Parallel()
+	const requests = 30
+	options := defaultCluster(111)
+	options.vms = 2
+	options.engine.TokenInterval = 20 * time.Millisecond
+	options.service = func(service *document.Service) {
+		service.FirstTokenMilliseconds = 1
+		service.TokenMilliseconds = 600000
+	}
+	limited := testOrganisation("wenber-key")
+	limited.ConcurrentRequests = 2
+	options.organisations = map[document.OrganisationID]document.Organisation{
+		"wenber": limited,
+	}
+	c := newCluster(t, options)
+	line := commandLine{
+		t: t,
+		c: c,
+	}
+	var group sync.WaitGroup
+	for i := range requests {
+		for _, key := range []string{testKey, "wenber-key"} {
+			group.Go(func() {
+				client := openai.NewClient(option.WithBaseURL(c.gatewayURL(i%2)+"/v1/"), option.WithAPIKey(key), option.WithMaxRetries(0))
+				_, _ = ask(client, fmt.Sprintf("question %d", i), 10)
+			})
+		}
+	}
+	group.Wait()
+
+	var report burn.Report
+	printed := line.controller("report", "burn", "--output", "json")
+	assert.Equal(t, printed.code, 0, printed.errOut)
+	assert.NilError(t, json.Unmarshal([]byte(printed.out), &report))
+	assert.Equal(t, len(report.Silent), 0, printed.out)
+	rows := map[burn.ObjectiveName]burn.Row{}
+	for _, row := range report.Services {
+		if row.Service == "beacon-assist" {
+			rows[row.Objective] = row
+		}
+	}
+	assert.Assert(t, rows[burn.ObjectiveFirstToken].Burn5m > 1, printed.out)
+	assert.Assert(t, rows[burn.ObjectiveFirstToken].BudgetLeft < 0, printed.out)
+	assert.Equal(t, rows[burn.ObjectiveToken].BudgetLeft, 1.0, printed.out)
+	assert.Assert(t, rows[burn.ObjectiveToken].Events >= requests*5, printed.out)
+
+	fairness := line.controller("report", "fairness", "--output", "json")
+	var shares burn.Fairness
+	assert.NilError(t, json.Unmarshal([]byte(fairness.out), &shares))
+	refused := slices.ContainsFunc(shares.Shares, func(share burn.Share) bool {
+		return share.Organisation == "wenber" && share.RefusedShare > share.RestRefusedShare
+	})
+	assert.Assert(t, refused, fairness.out)
+
+	c.signal(fleet.RoleGateway, 1, syscall.SIGKILL)
+	c.waitExit(fleet.RoleGateway, 1)
+	text := line.controller("report", "burn")
+	assert.Assert(t, strings.Contains(text.out, "Silent: Gateway/vm-1"), text.out)
+}
