--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -34,7 +34,11 @@
 // Members lists the processes alive.
 type Members interface {
 	Alive(role fleet.Role) []fleet.Member
+<<<<<<< HEAD
 	Majority(within time.Duration) bool
+=======
+	Listed() []fleet.Member
+>>>>>>> product
 }
 
 // Directory lists the endpoints that take new work.
@@ -53,7 +57,12 @@
 	store     Store
 	members   Members
 	directory Directory
+<<<<<<< HEAD
 	caller    Caller
+=======
+	peers     Peers
+	jobs      Jobs
+>>>>>>> product
 	root      document.Hash
 	log       *slog.Logger
 	snapshots sync.WaitGroup
@@ -65,7 +74,12 @@
 	Store     Store
 	Members   Members
 	Directory Directory
+<<<<<<< HEAD
 	Caller    Caller
+=======
+	Peers     Peers
+	Jobs      Jobs
+>>>>>>> product
 	// Root is the hash of the token that may change every section.
 	Root document.Hash
 	Log  *slog.Logger
@@ -78,7 +92,12 @@
 		store:     parts.Store,
 		members:   parts.Members,
 		directory: parts.Directory,
+<<<<<<< HEAD
 		caller:    parts.Caller,
+=======
+		peers:     parts.Peers,
+		jobs:      parts.Jobs,
+>>>>>>> product
 		root:      parts.Root,
 		log:       parts.Log,
 	}
@@ -92,6 +111,9 @@
 	mux.HandleFunc("GET /history", c.as(c.serveHistory))
 	mux.HandleFunc("GET /status", c.as(c.serveStatus))
 	mux.HandleFunc("GET /fleet", c.as(c.serveFleet))
+	mux.HandleFunc("GET /report/burn", c.as(c.serveBurn))
+	mux.HandleFunc("GET /report/fairness", c.as(c.serveFairness))
+	mux.HandleFunc("GET /explain/{id...}", c.as(c.serveExplain))
 	return mux
 }
 
