--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -34,11 +34,8 @@
 // Members lists the processes alive.
 type Members interface {
 	Alive(role fleet.Role) []fleet.Member
-<<<<<<< HEAD
 	Majority(within time.Duration) bool
-=======
 	Listed() []fleet.Member
->>>>>>> product
 }
 
 // Directory lists the endpoints that take new work.
@@ -57,12 +54,8 @@
 	store     Store
 	members   Members
 	directory Directory
-<<<<<<< HEAD
 	caller    Caller
-=======
-	peers     Peers
 	jobs      Jobs
->>>>>>> product
 	root      document.Hash
 	log       *slog.Logger
 	snapshots sync.WaitGroup
@@ -74,12 +67,8 @@
 	Store     Store
 	Members   Members
 	Directory Directory
-<<<<<<< HEAD
 	Caller    Caller
-=======
-	Peers     Peers
 	Jobs      Jobs
->>>>>>> product
 	// Root is the hash of the token that may change every section.
 	Root document.Hash
 	Log  *slog.Logger
@@ -92,12 +81,8 @@
 		store:     parts.Store,
 		members:   parts.Members,
 		directory: parts.Directory,
-<<<<<<< HEAD
 		caller:    parts.Caller,
-=======
-		peers:     parts.Peers,
 		jobs:      parts.Jobs,
->>>>>>> product
 		root:      parts.Root,
 		log:       parts.Log,
 	}
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -75,7 +75,7 @@
 	members := c.expected(fleet.RoleGateway, fleet.RoleDispatcher, fleet.RoleController)
 	silent := gather(ctx, members, func(ctx context.Context, member fleet.Member) error {
 		var answer explain.Answer
-		err := c.peers.Call(ctx, member.Address, explain.MethodAbout, explain.Query{
+		err := c.caller.Call(ctx, member.Address, explain.MethodAbout, explain.Query{
 			Subject: subject,
 		}, &answer)
 		if err != nil {
--- a/internal/controller/gather.go
+++ b/internal/controller/gather.go
@@ -11,11 +11,6 @@
 	"rhubarbrudder/internal/fleet"
 )
 
-// Peers calls the other processes.
-type Peers interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 const (
 	// gatherTimeout bounds how long a report waits for the members.
 	gatherTimeout = 2 * time.Second
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -21,7 +21,7 @@
 	merged := burn.NewMerged()
 	silent := gather(ctx, c.expected(fleet.RoleGateway), func(ctx context.Context, member fleet.Member) error {
 		var answer burn.Answer
-		err := c.peers.Call(ctx, member.Address, burn.MethodCounts, burn.Query{
+		err := c.caller.Call(ctx, member.Address, burn.MethodCounts, burn.Query{
 			Organisation: organisation,
 			Most:         mostOrganisations,
 		}, &answer)
--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -34,12 +34,8 @@
 		Store:     b.store,
 		Members:   b.fleet,
 		Directory: b.directory,
-<<<<<<< HEAD
 		Caller:    b.peers,
-=======
-		Peers:     b.peers,
 		Jobs:      b.jobs,
->>>>>>> product
 		Root:      document.Hash(strings.TrimSpace(string(token))),
 		Log:       b.log,
 	})
