Controller: ready once it accepts changes

Cause: after merging, TestCommandLine/document failed with Minority: the balancer's check called a controller ready 40 ms after its start, before it had heard a heartbeat, and the first change was refused. Ruled out: accepting in a minority at start, which would break the promise of revisions. Readiness now follows Accepting.

--- a/internal/controller/document.go
+++ b/internal/controller/document.go
@@ -130,10 +130,15 @@
 	writeJSON(w, http.StatusOK, accepted)
 }
 
+// Accepting reports whether changes are accepted here; a controller that has just started has heard nobody yet.
+func (c *Controller) Accepting() bool {
+	return c.members.Majority(majorityWithin)
+}
+
 // accept commits the difference between the section in force and the wanted one. In a minority nothing is accepted:
 // a majority that is cut off from the platform goes on with the revision it has.
 func (c *Controller) accept(ctx context.Context, p put, token document.Hash) (document.Change, error) {
-	if !c.members.Majority(majorityWithin) {
+	if !c.Accepting() {
 		return document.Change{}, errMinority
 	}
 	if err := c.documents.Refresh(ctx); err != nil {
--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -39,6 +39,7 @@
 		Root:      document.Hash(strings.TrimSpace(string(token))),
 		Log:       b.log,
 	})
+	b.status.AddCheck(served.Accepting)
 	group := &run.Group{}
 	if err := b.common(ctx, group, at); err != nil {
 		return err
