--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -21,7 +21,7 @@
 func (r *run) attempt(ctx context.Context, target endpoint.Endpoint, index int) (job.Result, error) {
 	item := r.items[index]
 	req := request.Request{
-		ID:           request.NewID(),
+		ID:           r.requestID(index),
 		Organisation: r.active.Organisation,
 		Service:      r.active.Service,
 		Class:        request.ClassBatch,
@@ -31,7 +31,7 @@
 			"Content-Type": {"application/json"},
 		},
 		Body:       item.Body,
-		Idempotent: true,
+		Idempotent: !r.active.Once,
 	}
 	var err error
 	if r.engine() {
@@ -53,6 +53,9 @@
 	if answer.Streamed {
 		return r.streamed(answer, req, progress, index)
 	}
+	if r.active.Once {
+		return final(answer, req, item)
+	}
 	return whole(answer, req, item)
 }
 
@@ -109,18 +112,40 @@
 	if err != nil {
 		return job.Result{}, err
 	}
-	switch {
-	case answer.Status < http.StatusBadRequest:
-		return answeredResult(req, item, answer.Status, body), nil
-	case retryable(answer.Status):
-		return job.Result{}, fmt.Errorf("%w: status %d", errAttempt, answer.Status)
+	if id := answer.Header.Get(endpoint.HeaderRequestID); id != "" && id != string(req.ID) {
+		return job.Result{}, fmt.Errorf("%w: answer of another request", errAttempt)
+	}
+	if retryable(answer.Status) {
+		return job.Result{}, &statusError{
+			status: answer.Status,
+		}
+	}
+	return statusResult(req, item, answer.Status, body), nil
+}
+
+// final returns the answer to an item that is never repeated, whatever its status.
+func final(answer *endpoint.Answer, req request.Request, item job.Item) (job.Result, error) {
+	body, err := answer.Whole()
+	if err != nil {
+		return job.Result{}, err
+	}
+	if id := answer.Header.Get(endpoint.HeaderRequestID); id != "" && id != string(req.ID) {
+		return job.Result{}, fmt.Errorf("%w: answer of another request", errAttempt)
+	}
+	return statusResult(req, item, answer.Status, body), nil
+}
+
+// statusResult returns the result of an answer that is not repeated; an error status is the item's failure.
+func statusResult(req request.Request, item job.Item, status int, body []byte) job.Result {
+	result := answeredResult(req, item, status, body)
+	if status < http.StatusBadRequest {
+		return result
 	}
-	result := answeredResult(req, item, answer.Status, body)
 	result.Error = &job.ResultError{
 		Code:    "item_refused",
-		Message: fmt.Sprintf("the endpoint refused the item with status %d", answer.Status),
+		Message: fmt.Sprintf("the endpoint refused the item with status %d", status),
 	}
-	return result, nil
+	return result
 }
 
 func retryable(status int) bool {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +24,9 @@
 	Claim(ctx context.Context, active job.ActiveRow, lot job.LotRow, session lease.SessionID) (job.LotRow, error)
 	Progress(ctx context.Context, lot job.Lot) (job.Checkpoint, error)
 	Save(ctx context.Context, id job.ID, lot job.LotRow, progress job.Checkpoint) (job.LotRow, error)
+	Free(ctx context.Context, id job.ID, lot job.LotRow, progress job.Checkpoint, hop bool) error
 	Complete(ctx context.Context, id job.ID, lot job.LotRow, results []job.Result) error
+	Split(ctx context.Context, id job.ID, lot job.LotRow, results []job.Result, rest job.Checkpoint, keep bool) (job.LotRow, error)
 	Finish(ctx context.Context, id job.ID) (bool, error)
 	Items(ctx context.Context, lot job.Lot) ([]job.Item, error)
 }
@@ -64,8 +64,13 @@
 	document Document
 	notes    *explain.Recorder
 	log      *slog.Logger
+	wake     chan struct{}
 	mu       sync.Mutex
 	held     map[lotKey]context.CancelFunc
+	stopped  map[job.ID]time.Time
+	listed   map[job.ID]time.Time
+	active   []job.ActiveRow
+	pulse    pulse
 	lots     sync.WaitGroup
 }
 
@@ -96,95 +101,95 @@
 		document: parts.Document,
 		notes:    parts.Notes,
 		log:      parts.Log,
+		wake:     make(chan struct{}, 1),
 		held:     map[lotKey]context.CancelFunc{},
+		stopped:  map[job.ID]time.Time{},
+		listed:   map[job.ID]time.Time{},
 	}
 }
 
-const (
-	// scanPeriod is how often jobs are looked through for lots to claim.
-	scanPeriod = 500 * time.Millisecond
-	// mostLots is how many lots a dispatcher holds at once.
-	mostLots = 4
-)
-
 // Run claims and runs lots until ctx ends, then hands back what is unfinished.
 func (d *Dispatcher) Run(ctx context.Context) error {
+	var loops sync.WaitGroup
+	loops.Go(func() { d.beat(ctx) })
+	loops.Go(func() { d.watch(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			d.lots.Wait()
+			loops.Wait()
+			return nil
+		case <-d.wake:
+			d.scan(ctx)
+		}
+	}
+}
+
+// watch reads the active jobs each period, stops the cancelled ones and has the others scanned.
+func (d *Dispatcher) watch(ctx context.Context) {
 	ticker := time.NewTicker(scanPeriod)
 	defer ticker.Stop()
 	for {
-		if err := d.scan(ctx); err != nil && ctx.Err() == nil {
+		began := time.Now()
+		active, err := d.store.Active(ctx)
+		if err != nil && ctx.Err() == nil {
 			d.log.Warn("jobs unreadable", "err", err)
 		}
+		if err == nil {
+			d.cancelHeld(active)
+			d.found(active)
+		}
+		// Nobody can cancel while the table is away: a failed look counts.
+		d.looked(began)
 		select {
 		case <-ctx.Done():
-			d.lots.Wait()
-			return nil
+			return
 		case <-ticker.C:
 		}
 	}
 }
 
-func (d *Dispatcher) scan(ctx context.Context) error {
-	active, err := d.store.Active(ctx)
-	if err != nil {
-		return err
-	}
-	d.cancelHeld(active)
-	slices.SortFunc(active, func(a, b job.ActiveRow) int {
-		return a.Due.Compare(b.Due)
-	})
-	for _, row := range active {
-		if err := d.scanJob(ctx, row); err != nil && ctx.Err() == nil {
-			d.log.Warn("job not scanned", "job", row.Job, "err", err)
-		}
-	}
-	return nil
+// found takes the active jobs over for the next scan.
+func (d *Dispatcher) found(active []job.ActiveRow) {
+	d.mu.Lock()
+	d.active = active
+	d.mu.Unlock()
+	d.wakeUp()
 }
 
-// cancelHeld stops the lots of jobs that were cancelled.
-func (d *Dispatcher) cancelHeld(active []job.ActiveRow) {
-	for _, row := range active {
-		if row.Cancelled {
-			d.CancelJob(row.Job)
-		}
+func (d *Dispatcher) wakeUp() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
 	}
 }
 
-// CancelJob stops the lots of a cancelled job; finished items are still stored.
-func (d *Dispatcher) CancelJob(id job.ID) {
+// ended has the job looked at soon: it may have been its last lot.
+func (d *Dispatcher) ended(id job.ID) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	for held, cancel := range d.held {
-		if held.job == id {
-			cancel()
-		}
-	}
+	delete(d.listed, id)
+	d.mu.Unlock()
+	d.wakeUp()
 }
 
-// SessionLost stops everything held: another process may run it now.
-func (d *Dispatcher) SessionLost(lease.SessionID) {
+func (d *Dispatcher) note(id job.ID, decision string, facts ...explain.Fact) {
+	d.notes.Note(explain.Subject(id), decision, facts...)
+}
+
+func (d *Dispatcher) prefers(active job.ActiveRow, lot job.Lot) bool {
+	return d.capacity.Prefers(active.Service, lot.Name(active.Job))
+}
+
+func (d *Dispatcher) hold(key lotKey, cancel context.CancelFunc) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, cancel := range d.held {
-		cancel()
-	}
+	d.held[key] = cancel
 }
 
-func (d *Dispatcher) scanJob(ctx context.Context, active job.ActiveRow) error {
-	lots, err := d.store.Lots(ctx, active.Job)
-	if err != nil {
-		return err
-	}
-	for _, lot := range d.claimable(active, lots) {
-		if d.holding() >= mostLots && !active.Cancelled {
-			return nil
-		}
-		d.claim(ctx, active, lot)
-	}
-	if _, err := d.store.Finish(ctx, active.Job); err != nil {
-		return err
-	}
-	return nil
+func (d *Dispatcher) drop(key lotKey) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.held, key)
 }
 
 func (d *Dispatcher) holding() int {
@@ -193,65 +198,17 @@
 	return len(d.held)
 }
 
-// claimable returns the lots that nobody holds and that this dispatcher is preferred for.
-func (d *Dispatcher) claimable(active job.ActiveRow, lots []job.LotRow) []job.LotRow {
-	var free []job.LotRow
-	seen := map[job.LotID]bool{}
-	for _, lot := range lots {
-		seen[lot.ID] = true
-		abandoned := lot.State == job.LotClaimed && d.sessions.Free(lot.Session)
-		if abandoned || lot.State == job.LotFree && !active.Cancelled {
-			free = append(free, lot)
-		}
-	}
-	for number := 0; number < active.Lots && !active.Cancelled; number++ {
-		if id := job.BaseLot(number); !seen[id] {
-			free = append(free, job.LotRow{
-				Lot: job.Lot{
-					ID:    id,
-					Input: job.InputObject(active.File, number),
-				},
-			})
-		}
-	}
-	return slices.DeleteFunc(free, func(lot job.LotRow) bool {
-		return !d.capacity.Prefers(active.Service, string(active.Job)+string(lot.ID))
-	})
+func (d *Dispatcher) holds(key lotKey) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held[key] != nil
 }
 
-func (d *Dispatcher) claim(ctx context.Context, active job.ActiveRow, lot job.LotRow) {
-	session, ok := d.sessions.Own()
-	if !ok || ctx.Err() != nil {
-		return
-	}
-	claimed, err := d.store.Claim(ctx, active, lot, session)
-	if err != nil {
-		if !errors.Is(err, job.ErrFenced) {
-			d.log.Warn("lot not claimed", "job", active.Job, "lot", lot.ID, "err", err)
-		}
-		return
-	}
-	d.notes.Note(explain.Subject(active.Job), "lot claimed", explain.Fact{
-		Name:  "lot",
-		Value: string(lot.ID),
-	})
-	d.log.Info("lot claimed", "job", active.Job, "lot", lot.ID, "claim", claimed.Claim)
-	lotCtx, cancel := context.WithCancel(ctx)
-	key := lotKey{
-		job: active.Job,
-		lot: lot.ID,
-	}
+// SessionLost stops everything held: another process may run it now.
+func (d *Dispatcher) SessionLost(lease.SessionID) {
 	d.mu.Lock()
-	d.held[key] = cancel
-	d.mu.Unlock()
-	if active.Cancelled {
+	defer d.mu.Unlock()
+	for _, cancel := range d.held {
 		cancel()
 	}
-	d.lots.Go(func() {
-		defer cancel()
-		d.runLot(lotCtx, active, claimed)
-		d.mu.Lock()
-		delete(d.held, key)
-		d.mu.Unlock()
-	})
 }
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -3,45 +3,117 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
-	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/explain"
 	"rhubarbrudder/internal/job"
-	"rhubarbrudder/internal/request"
 )
 
 // run is the work on one claimed lot.
 type run struct {
 	dispatcher *Dispatcher
-	active     job.ActiveRow
-	lot        job.LotRow
-	items      []job.Item
-	attempts   int
-	period     time.Duration
-	mu         sync.Mutex
-	progress   job.Checkpoint
-	changed    bool
+	// life ends when the process shuts down.
+	life context.Context
+	// stopWork ends the work on the lot.
+	stopWork context.CancelFunc
+	active   job.ActiveRow
+	lot      job.LotRow
+	items    []job.Item
+	policy   document.Policy
+	period   time.Duration
+	kick     chan struct{}
+	mu       sync.Mutex
+	progress job.Checkpoint
+	changed  bool
+	// waiting are the items whose start is to be committed.
+	waiting []chan struct{}
+	// running holds since when each dispatched item runs.
+	running map[int]time.Time
+	// deferred are the items that another process shall try.
+	deferred map[int]bool
+	// split says that a remainder of slow items was split off.
+	split bool
+	took  durations
 }
 
-// commitTimeout bounds the storing of a lot's end after its work was cancelled.
-const commitTimeout = 10 * time.Second
-
-func (d *Dispatcher) runLot(ctx context.Context, active job.ActiveRow, lot job.LotRow) {
-	r := &run{
+func (d *Dispatcher) newRun(life context.Context, stop context.CancelFunc, active job.ActiveRow, lot job.LotRow) *run {
+	policy := d.document.View().Policy
+	return &run{
 		dispatcher: d,
+		life:       life,
+		stopWork:   stop,
 		active:     active,
 		lot:        lot,
-		attempts:   d.document.View().Policy.Attempts,
-		period:     time.Duration(d.document.View().Policy.CheckpointMilliseconds) * time.Millisecond,
+		policy:     policy,
+		period:     time.Duration(policy.CheckpointMilliseconds) * time.Millisecond,
+		kick:       make(chan struct{}, 1),
+		running:    map[int]time.Time{},
+		deferred:   map[int]bool{},
+		split:      lot.Remainder > 0,
+	}
+}
+
+// run runs a claimed lot until its end is stored, its claim is lost, or the process ends.
+func (r *run) run(ctx context.Context) {
+	whole := context.WithoutCancel(ctx)
+	if !r.persist(whole, r.load) {
+		return
+	}
+	r.work(ctx)
+	r.persist(whole, r.end)
+}
+
+func (r *run) key(lot job.LotID) lotKey {
+	return lotKey{
+		job: r.active.Job,
+		lot: lot,
 	}
-	if err := r.load(context.WithoutCancel(ctx)); err != nil {
-		d.log.Warn("lot not loaded", "job", active.Job, "lot", lot.ID, "err", err)
-	} else {
-		r.work(ctx)
+}
+
+const (
+	// persistPause is the first pause after a failed access to the store; it doubles up to longestPause.
+	persistPause = 200 * time.Millisecond
+	longestPause = 3 * time.Second
+	// commitTimeout bounds the storing of a lot's end after the process was asked to shut down.
+	commitTimeout = 10 * time.Second
+)
+
+// persist repeats an access to the store through outages, until it succeeds, the claim is lost, or the process ends.
+func (r *run) persist(ctx context.Context, access func(ctx context.Context) error) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.life, func() {
+		time.AfterFunc(commitTimeout, cancel)
+	})()
+	for wait := persistPause; ; wait = min(2*wait, longestPause) {
+		err := access(ctx)
+		if err == nil {
+			return true
+		}
+		if errors.Is(err, job.ErrFenced) {
+			r.dispatcher.log.Info("claim lost", "job", r.active.Job, "lot", r.lot.ID)
+			return false
+		}
+		r.dispatcher.log.Warn("lot not stored", "job", r.active.Job, "lot", r.lot.ID, "err", err)
+		if !pause(ctx, wait/2+rand.N(wait)) {
+			return false
+		}
 	}
-	if err := r.end(context.WithoutCancel(ctx)); err != nil {
-		d.log.Warn("lot not stored", "job", active.Job, "lot", lot.ID, "err", err)
+}
+
+// pause waits and reports whether ctx still lives.
+func pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
@@ -52,7 +124,11 @@
 		return err
 	}
 	r.progress, err = r.dispatcher.store.Progress(ctx, r.lot.Lot)
-	return err
+	if err != nil {
+		return err
+	}
+	r.abandonStarted()
+	return nil
 }
 
 // work runs every unfinished item, and stores progress every period.
@@ -64,10 +140,7 @@
 		r.checkpoint(ctx, cancel)
 	})
 	var items sync.WaitGroup
-	for index := range r.items {
-		if r.finished(index) {
-			continue
-		}
+	for _, index := range r.unfinished() {
 		items.Go(func() {
 			r.item(ctx, index)
 		})
@@ -77,14 +150,20 @@
 	checkpoints.Wait()
 }
 
-func (r *run) finished(index int) bool {
+// unfinished returns the lot's items without a result.
+func (r *run) unfinished() []int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, ok := r.progress.Results[index]
-	return ok
+	var left []int
+	for _, index := range r.progress.Indexes(len(r.items)) {
+		if _, ok := r.progress.Results[index]; !ok {
+			left = append(left, index)
+		}
+	}
+	return left
 }
 
-// checkpoint stores progress; a lost claim ends the work.
+// checkpoint stores progress each period, and at once when a start waits; a lost claim ends the work.
 func (r *run) checkpoint(ctx context.Context, lost context.CancelFunc) {
 	ticker := time.NewTicker(r.period)
 	defer ticker.Stop()
@@ -93,127 +172,133 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-r.kick:
 		}
-		if err := r.save(context.WithoutCancel(ctx)); errors.Is(err, job.ErrFenced) {
+		err := r.store(context.WithoutCancel(ctx))
+		if errors.Is(err, job.ErrFenced) {
 			r.dispatcher.log.Info("claim lost", "job", r.active.Job, "lot", r.lot.ID)
 			lost()
 			return
 		}
+		if r.stranded() {
+			r.dispatcher.note(r.active.Job, "lot handed on", fact("lot", string(r.lot.ID)), fact("reason", "no endpoint of the lot is this dispatcher's"))
+			lost()
+			return
+		}
 	}
 }
 
+// store splits slow items off if the lot waits for nothing else, and saves progress otherwise.
+func (r *run) store(ctx context.Context) error {
+	if slow := r.slow(time.Now()); slow != nil {
+		return r.splitSlow(ctx, slow)
+	}
+	return r.save(ctx)
+}
+
+// stranded reports whether nothing of the lot runs and another process is preferred for it.
+func (r *run) stranded() bool {
+	r.mu.Lock()
+	running := len(r.running)
+	r.mu.Unlock()
+	return running == 0 && !r.dispatcher.prefers(r.active, r.lot.Lot)
+}
+
 func (r *run) save(ctx context.Context) error {
-	progress, changed := r.snapshot()
+	progress, waiting, changed := r.snapshot()
 	if !changed {
 		return nil
 	}
 	lot, err := r.dispatcher.store.Save(ctx, r.active.Job, r.lot, progress)
 	if err != nil {
+		r.unsaved(waiting)
 		return err
 	}
 	r.lot = lot
+	for _, start := range waiting {
+		close(start)
+	}
 	return nil
 }
 
-// snapshot returns a copy of the progress, and whether it changed since the last.
-func (r *run) snapshot() (job.Checkpoint, bool) {
+// snapshot returns a copy of the progress, the starts that it holds, and whether it changed since the last.
+func (r *run) snapshot() (job.Checkpoint, []chan struct{}, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := r.changed
+	waiting := r.waiting
 	r.changed = false
-	return r.progress.Clone(), changed
+	r.waiting = nil
+	return r.progress.Clone(), waiting, changed
+}
+
+// unsaved takes back a snapshot that was not stored.
+func (r *run) unsaved(waiting []chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changed = true
+	r.waiting = append(r.waiting, waiting...)
 }
 
-// end stores the results if every item is finished or the job is cancelled, and the progress otherwise.
+// end stores the results if every item is finished or the job is cancelled, hands deferred items on,
+// and gives the lot up with its progress otherwise.
 func (r *run) end(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	progress, _ := r.snapshot()
-	stored, err := r.dispatcher.store.Job(ctx, r.active.Organisation, r.active.Job)
+	store := r.dispatcher.store
+	left := r.unfinished()
+	progress, _, _ := r.snapshot()
+	if len(left) == 0 {
+		return r.complete(ctx, progress)
+	}
+	stored, err := store.Job(ctx, r.active.Organisation, r.active.Job)
 	if err != nil {
 		return err
 	}
-	done := len(r.items) > 0 && len(progress.Results) == len(r.items)
-	if !done && stored.Cancelled.IsZero() {
-		_, err := r.dispatcher.store.Save(ctx, r.active.Job, r.lot, progress)
+	switch {
+	case !stored.Cancelled.IsZero():
+		return r.complete(ctx, progress)
+	case r.allDeferred(left) && len(progress.Results) > 0:
+		_, err := store.Split(ctx, r.active.Job, r.lot, results(progress), progress.Rest(left), false)
 		return err
 	}
-	results := make([]job.Result, 0, len(progress.Results))
-	for index := range r.items {
-		if result, ok := progress.Results[index]; ok {
-			results = append(results, result)
-		}
-	}
-	if err := r.dispatcher.store.Complete(ctx, r.active.Job, r.lot, results); err != nil {
+	return store.Free(ctx, r.active.Job, r.lot, progress, r.allDeferred(left))
+}
+
+func (r *run) complete(ctx context.Context, progress job.Checkpoint) error {
+	if err := r.dispatcher.store.Complete(ctx, r.active.Job, r.lot, results(progress)); err != nil {
 		return err
 	}
-	_, err = r.dispatcher.store.Finish(ctx, r.active.Job)
-	return err
+	r.dispatcher.ended(r.active.Job)
+	return nil
 }
 
-func (r *run) setResult(index int, result job.Result) {
+func (r *run) allDeferred(left []int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.progress.Results[index] = result
-	delete(r.progress.Partial, index)
-	delete(r.progress.Attempts, index)
-	r.changed = true
-}
-
-// retryPause is the pause before the first retry of an item; it doubles with each.
-const retryPause = 100 * time.Millisecond
-
-// item runs one item until it has a result or ctx ends.
-func (r *run) item(ctx context.Context, index int) {
-	avoid := map[endpoint.ID]bool{}
-	for ctx.Err() == nil {
-		grant, err := r.dispatcher.capacity.Acquire(ctx, r.active.Service, avoid)
-		if err != nil {
-			return
-		}
-		result, err := r.attempt(grant.Context(), grant.Endpoint, index)
-		yielded := grant.Context().Err() != nil
-		grant.Release()
-		if err == nil {
-			r.setResult(index, result)
-			return
-		}
-		if yielded {
-			continue
-		}
-		avoid[grant.Endpoint.ID] = true
-		if r.failed(ctx, index, err) {
-			return
-		}
-		if len(avoid) >= r.attempts {
-			clear(avoid)
+	for _, index := range left {
+		if !r.deferred[index] {
+			return false
 		}
 	}
+	return true
 }
 
-// failed counts a failed attempt, pauses, and reports whether it was the last.
-func (r *run) failed(ctx context.Context, index int, err error) bool {
-	r.mu.Lock()
-	r.progress.Attempts[index]++
-	attempts := r.progress.Attempts[index]
-	r.changed = true
-	r.mu.Unlock()
-	if attempts >= r.attempts {
-		r.setResult(index, job.Result{
-			ID:       request.NewID(),
-			CustomID: r.items[index].CustomID,
-			Error: &job.ResultError{
-				Code:    "attempts_exhausted",
-				Message: err.Error(),
-			},
-		})
-		return true
+// results returns the finished items in the order of the input.
+func results(progress job.Checkpoint) []job.Result {
+	indexes := make([]int, 0, len(progress.Results))
+	for index := range progress.Results {
+		indexes = append(indexes, index)
 	}
-	timer := time.NewTimer(retryPause << attempts)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	slices.Sort(indexes)
+	found := make([]job.Result, 0, len(indexes))
+	for _, index := range indexes {
+		found = append(found, progress.Results[index])
+	}
+	return found
+}
+
+func fact(name, value string) explain.Fact {
+	return explain.Fact{
+		Name:  name,
+		Value: value,
 	}
-	return false
 }
--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -104,6 +104,7 @@
 		Service:      service,
 		File:         file.ID,
 		Path:         file.Path,
+		Once:         !idempotent(c.view.Services[service], http.MethodPost, servicePath(file.Path)),
 		State:        job.StateRunning,
 		Items:        file.Items,
 		Lots:         file.Lots,
@@ -137,6 +138,16 @@
 	return service, nil
 }
 
+// servicePath returns the path at the service itself.
+func servicePath(path string) string {
+	rest, plain := strings.CutPrefix(path, servicesPrefix)
+	if !plain {
+		return path
+	}
+	_, path, _ = strings.Cut(rest, "/")
+	return "/" + path
+}
+
 func parseWindow(window string, policy document.Policy) (time.Duration, error) {
 	if window == "" {
 		window = "24h"
@@ -165,7 +176,7 @@
 		if err != nil {
 			return batchBody{}, err
 		}
-		counts, _, _ = job.Tally(lots)
+		counts = job.TallyOf(lots).Counts
 	}
 	body := batchBody{
 		ID:               string(found.ID),
@@ -253,6 +264,9 @@
 	if err != nil {
 		return err
 	}
+	if !cancelled.State.Ended() {
+		g.cancel.Cancel(cancelled.ID)
+	}
 	g.log.Info("batch cancelled", "request", c.id, "organisation", c.organisation, "job", cancelled.ID)
 	return g.writeBatch(c, cancelled)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,11 @@
 	Lots(ctx context.Context, id job.ID) ([]job.LotRow, error)
 }
 
+// Canceller tells the dispatchers that a job was cancelled.
+type Canceller interface {
+	Cancel(id job.ID)
+}
+
 // Limiter holds organisations to their limits.
 type Limiter interface {
 	Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error)
@@ -55,6 +60,7 @@
 	members  Members
 	router   Router
 	jobs     Jobs
+	cancel   Canceller
 	limiter  Limiter
 	log      *slog.Logger
 }
@@ -65,6 +71,7 @@
 	Members  Members
 	Router   Router
 	Jobs     Jobs
+	Cancel   Canceller
 	Limiter  Limiter
 	Log      *slog.Logger
 }
@@ -76,6 +83,7 @@
 		members:  parts.Members,
 		router:   parts.Router,
 		jobs:     parts.Jobs,
+		cancel:   parts.Cancel,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
 	}
--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -14,6 +14,49 @@
 
 // Complete stores a lot's results and marks it as done; ErrFenced means that the claim is lost and nothing was stored.
 func (s *Store) Complete(ctx context.Context, id ID, lot LotRow, results []Result) error {
+	done, err := s.finished(ctx, id, lot, results)
+	if err != nil {
+		return err
+	}
+	_, err = s.update(ctx, id, done)
+	return err
+}
+
+// Split stores a lot's results, marks it as done and, in the same transaction, makes the rest of its items a lot of
+// its own: held by the same claim if keep is set, and free otherwise. It returns the remainder.
+func (s *Store) Split(ctx context.Context, id ID, lot LotRow, results []Result, rest Checkpoint, keep bool) (LotRow, error) {
+	done, err := s.finished(ctx, id, lot, results)
+	if err != nil {
+		return LotRow{}, err
+	}
+	remainder := LotRow{
+		Lot: Lot{
+			ID:        RemainderLot(lot.ID),
+			State:     LotFree,
+			Session:   lot.Session,
+			Claim:     1,
+			Remainder: lot.Remainder + 1,
+			Input:     lot.Input,
+		},
+	}
+	if keep {
+		remainder.State = LotClaimed
+	}
+	remainder.Checkpoint, err = s.putProgress(ctx, id, lot.Lot, "remainder", rest)
+	if err != nil {
+		return LotRow{}, err
+	}
+	write, err := put(partitionLot+string(id), string(remainder.ID), 0, remainder.Lot)
+	if err != nil {
+		return LotRow{}, err
+	}
+	_, err = s.update(ctx, id, done, write)
+	remainder.Version = 1
+	return remainder, err
+}
+
+// finished stores a lot's results and returns its row as done, which is not stored yet.
+func (s *Store) finished(ctx context.Context, id ID, lot LotRow, results []Result) (LotRow, error) {
 	var output, failed bytes.Buffer
 	for _, result := range results {
 		into := &output
@@ -25,7 +68,7 @@
 		}
 		line, err := json.Marshal(result)
 		if err != nil {
-			return oops.In("job").Wrap(err)
+			return lot, oops.In("job").Wrap(err)
 		}
 		into.Write(line)
 		into.WriteByte('\n')
@@ -33,15 +76,11 @@
 	var err error
 	lot.Results, err = s.putResults(ctx, id, lot, "output", output.Bytes())
 	if err != nil {
-		return err
+		return lot, err
 	}
 	lot.Errors, err = s.putResults(ctx, id, lot, "error", failed.Bytes())
-	if err != nil {
-		return err
-	}
 	lot.State = LotDone
-	_, err = s.update(ctx, id, lot)
-	return err
+	return lot, err
 }
 
 func (s *Store) putResults(ctx context.Context, id ID, lot LotRow, kind string, data []byte) (name platform.ObjectName, err error) {
@@ -66,16 +105,16 @@
 	if err != nil {
 		return false, err
 	}
-	counts, done, held := Tally(lots)
+	tally := TallyOf(lots)
 	switch {
-	case job.State == StateRunning && done == len(lots) && len(lots) >= job.Lots:
-		job.State = StateCompleted
-	case job.State == StateCancelling && !held:
+	case !tally.Ends(job.Lots, len(lots), job.State == StateCancelling):
+		return false, nil
+	case job.State == StateCancelling:
 		job.State = StateCancelled
 	default:
-		return false, nil
+		job.State = StateCompleted
 	}
-	job.Counts = counts
+	job.Counts = tally.Counts
 	job.Ended = time.Now().UTC()
 	err = s.commitState(ctx, job, version)
 	if errors.Is(err, ErrFenced) {
@@ -84,16 +123,43 @@
 	return err == nil, err
 }
 
-// Tally returns the counts of the lots, how many are done, and whether any is held.
-func Tally(lots []LotRow) (counts Counts, done int, held bool) {
+// Tally sums up a job's lots.
+type Tally struct {
+	Counts Counts
+	// Done counts the lots whose results are stored, and Input the lots of the input that have rows.
+	Done  int
+	Input int
+	// Open reports whether a lot may hold results that are not stored yet.
+	Open bool
+}
+
+// TallyOf returns the sums of the lots.
+func TallyOf(lots []LotRow) Tally {
+	var tally Tally
 	for _, lot := range lots {
-		held = held || lot.State == LotClaimed
+		if lot.Remainder == 0 {
+			tally.Input++
+		}
+		tally.Open = tally.Open || lot.Open()
 		if lot.State != LotDone {
 			continue
 		}
-		done++
-		counts.Completed += lot.Counts.Completed
-		counts.Failed += lot.Counts.Failed
+		tally.Done++
+		tally.Counts.Completed += lot.Counts.Completed
+		tally.Counts.Failed += lot.Counts.Failed
+	}
+	return tally
+}
+
+// Open reports whether the lot may hold results that are not stored yet.
+func (l Lot) Open() bool {
+	return l.State == LotClaimed || l.State == LotFree && l.Checkpoint != ""
+}
+
+// Ends reports whether a job with the number of input lots, of which rows have a row, has nothing left to do.
+func (t Tally) Ends(input, rows int, cancelled bool) bool {
+	if cancelled {
+		return !t.Open
 	}
-	return counts, done, held
+	return t.Done == rows && t.Input == input
 }
--- a/internal/job/item.go
+++ b/internal/job/item.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 
 	"github.com/samber/oops"
+
+	"rhubarbrudder/internal/endpoint"
 )
 
 // Items returns the items of a lot.
@@ -29,9 +32,52 @@
 // Clone returns a copy that shares nothing that changes.
 func (c Checkpoint) Clone() Checkpoint {
 	return Checkpoint{
+		Only:     c.Only,
 		Results:  maps.Clone(c.Results),
 		Partial:  maps.Clone(c.Partial),
 		Attempts: maps.Clone(c.Attempts),
+		Avoid:    cloneAvoid(c.Avoid),
 		Started:  maps.Clone(c.Started),
 	}
 }
+
+func cloneAvoid(avoid map[int][]endpoint.ID) map[int][]endpoint.ID {
+	clone := make(map[int][]endpoint.ID, len(avoid))
+	for index, ids := range avoid {
+		clone[index] = slices.Clone(ids)
+	}
+	return clone
+}
+
+// Indexes returns the items of the lot, by their index in its input of the given number of items.
+func (c Checkpoint) Indexes(items int) []int {
+	if c.Only != nil {
+		return c.Only
+	}
+	all := make([]int, items)
+	for index := range all {
+		all[index] = index
+	}
+	return all
+}
+
+// Rest returns the progress of the given items alone, as a remainder's.
+func (c Checkpoint) Rest(indexes []int) Checkpoint {
+	rest := NewCheckpoint()
+	rest.Only = indexes
+	for _, index := range indexes {
+		if partial, ok := c.Partial[index]; ok {
+			rest.Partial[index] = partial
+		}
+		if attempts, ok := c.Attempts[index]; ok {
+			rest.Attempts[index] = attempts
+		}
+		if avoid, ok := c.Avoid[index]; ok {
+			rest.Avoid[index] = slices.Clone(avoid)
+		}
+		if c.Started[index] {
+			rest.Started[index] = true
+		}
+	}
+	return rest
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/lease"
 	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
@@ -97,6 +98,8 @@
 	Due          time.Time
 	Created      time.Time
 	Cancelled    bool
+	// Once says that the items may run at most once.
+	Once bool
 }
 
 // LotState is a lot's state; a lot that nobody claimed yet has no row.
@@ -118,6 +121,10 @@
 	Session lease.SessionID
 	// Claim counts the claims of the lot and is part of its objects' names.
 	Claim int
+	// Remainder is zero for a lot of the input, and counts how often the items were split off as a remainder.
+	Remainder int
+	// Hops counts how often the lot was handed on because its holder had no endpoint for it.
+	Hops int
 	// Input is the object with the lot's items.
 	Input platform.ObjectName
 	// Checkpoint is the object with the progress of earlier claims, or empty.
@@ -164,12 +171,16 @@
 
 // Checkpoint is the progress of a lot's items.
 type Checkpoint struct {
+	// Only lists the items of the input that belong to a remainder; nil means all.
+	Only []int
 	// Results holds the finished items by their index in the lot.
 	Results map[int]Result
 	// Partial holds what unfinished items have generated.
 	Partial map[int]request.Saved
 	// Attempts counts the failed attempts of unfinished items.
 	Attempts map[int]int
+	// Avoid lists the endpoints at which an unfinished item failed.
+	Avoid map[int][]endpoint.ID
 	// Started lists the items, of a job that runs them at most once, whose start was committed.
 	Started map[int]bool
 }
@@ -180,6 +191,7 @@
 		Results:  map[int]Result{},
 		Partial:  map[int]request.Saved{},
 		Attempts: map[int]int{},
+		Avoid:    map[int][]endpoint.ID{},
 		Started:  map[int]bool{},
 	}
 }
@@ -189,6 +201,11 @@
 	return LotID(fmt.Sprintf("%08d", number))
 }
 
+// RemainderLot returns the id of the remainder that is split off a lot; it sorts behind the lot.
+func RemainderLot(lot LotID) LotID {
+	return lot + "-1"
+}
+
 // InputObject returns the object of a lot of an input file.
 func InputObject(file FileID, number int) platform.ObjectName {
 	return platform.ObjectName(fmt.Sprintf("file/%s/%08d", file, number))
--- /dev/null
+++ b/internal/job/lot.go
@@ -0,0 +1,170 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/samber/oops"
+
+	"rhubarbrudder/internal/lease"
+	"rhubarbrudder/internal/platform"
+)
+
+// LotRow is a lot and the version of its row, which fences it.
+type LotRow struct {
+	Lot
+	Version platform.Version
+}
+
+// Lots returns the lots of a job that have rows, in order.
+func (s *Store) Lots(ctx context.Context, id ID) ([]LotRow, error) {
+	rows, err := s.table.All(ctx, partitionLot+string(id))
+	if err != nil {
+		return nil, storeError(err)
+	}
+	lots := make([]LotRow, 0, len(rows))
+	for _, row := range rows {
+		lot := LotRow{
+			Version: row.Version,
+		}
+		if err := json.Unmarshal(row.Data, &lot.Lot); err != nil {
+			return nil, oops.In("job").Wrap(err)
+		}
+		lots = append(lots, lot)
+	}
+	return lots, nil
+}
+
+// Claim takes a lot for the session, unless the job changed since active was read or the lot's row since lot was.
+// A lot without a row has version zero.
+func (s *Store) Claim(ctx context.Context, active ActiveRow, lot LotRow, session lease.SessionID) (LotRow, error) {
+	lot.State = LotClaimed
+	lot.Session = session
+	lot.Claim++
+	write, err := put(partitionLot+string(active.Job), string(lot.ID), lot.Version, lot.Lot)
+	if err != nil {
+		return LotRow{}, err
+	}
+	check := platform.Write{
+		Key:     key(partitionActive, string(active.Job)),
+		Action:  platform.ActionCheck,
+		Version: active.Version,
+	}
+	err = s.settle(ctx, platform.ClassClaim, []platform.Write{write, check}, func() (bool, error) {
+		return s.holds(ctx, active.Job, lot.Lot)
+	})
+	lot.Version++
+	return lot, err
+}
+
+// holds reports whether the stored lot is still in the given claim's hands.
+func (s *Store) holds(ctx context.Context, id ID, lot Lot) (bool, error) {
+	stored, _, err := s.lotRow(ctx, id, lot.ID)
+	return stored.Session == lot.Session && stored.Claim == lot.Claim, err
+}
+
+// Progress returns the progress of a lot's earlier claims.
+func (s *Store) Progress(ctx context.Context, lot Lot) (Checkpoint, error) {
+	progress := NewCheckpoint()
+	if lot.Checkpoint == "" {
+		return progress, nil
+	}
+	data, err := s.objects.Get(ctx, lot.Checkpoint)
+	if err != nil {
+		return progress, storeError(err)
+	}
+	if err := json.Unmarshal(data, &progress); err != nil {
+		return progress, oops.In("job").Wrap(err)
+	}
+	return progress, nil
+}
+
+// Save stores progress of a claimed lot and returns the lot with its new version. ErrFenced means that the claim is lost.
+// The checkpoint that the new one replaces is removed.
+func (s *Store) Save(ctx context.Context, id ID, lot LotRow, progress Checkpoint) (LotRow, error) {
+	before := lot
+	var err error
+	lot.Checkpoint, err = s.putProgress(ctx, id, lot.Lot, "checkpoint", progress)
+	if err != nil {
+		return before, err
+	}
+	saved, err := s.update(ctx, id, lot)
+	if err != nil {
+		return before, err
+	}
+	if before.Checkpoint != "" {
+		// A checkpoint that stays behind is swept with the job.
+		_ = s.objects.Delete(ctx, before.Checkpoint)
+	}
+	return saved, nil
+}
+
+// Free stores progress like Save and gives the lot up, so that any process may claim it; hop has another one preferred.
+func (s *Store) Free(ctx context.Context, id ID, lot LotRow, progress Checkpoint, hop bool) error {
+	lot.State = LotFree
+	if hop {
+		lot.Hops++
+	}
+	_, err := s.Save(ctx, id, lot, progress)
+	return err
+}
+
+func (s *Store) putProgress(ctx context.Context, id ID, lot Lot, kind string, progress Checkpoint) (platform.ObjectName, error) {
+	data, err := json.Marshal(progress)
+	if err != nil {
+		return "", oops.In("job").Wrap(err)
+	}
+	name := ResultObject(id, lot.ID, lot.Session, lot.Claim, kind+"-"+time.Now().UTC().Format("150405.000000"))
+	return name, putObject(ctx, s.objects, name, data)
+}
+
+// update writes the row of a lot that this process holds, and more rows with it. A conflict with an earlier write
+// of the same claim, whose answer was lost, is settled by reading the row back.
+func (s *Store) update(ctx context.Context, id ID, lot LotRow, more ...platform.Write) (LotRow, error) {
+	for range settleAttempts {
+		write, err := put(partitionLot+string(id), string(lot.ID), lot.Version, lot.Lot)
+		if err != nil {
+			return lot, err
+		}
+		err = s.settle(ctx, platform.ClassCommit, append([]platform.Write{write}, more...), func() (bool, error) {
+			stored, _, err := s.lotRow(ctx, id, lot.ID)
+			return stored == lot.Lot, err
+		})
+		if err == nil {
+			lot.Version++
+			return lot, nil
+		}
+		if !errors.Is(err, ErrFenced) {
+			return lot, err
+		}
+		stored, version, readErr := s.lotRow(ctx, id, lot.ID)
+		switch {
+		case readErr != nil:
+			return lot, errors.Join(ErrUnknown, readErr)
+		case stored == lot.Lot:
+			lot.Version = version
+			return lot, nil
+		case stored.Session != lot.Session || stored.Claim != lot.Claim || stored.State != LotClaimed:
+			return lot, err
+		}
+		lot.Version = version
+	}
+	return lot, ErrUnknown
+}
+
+func (s *Store) lotRow(ctx context.Context, id ID, lot LotID) (Lot, platform.Version, error) {
+	var stored Lot
+	version, err := s.get(ctx, partitionLot+string(id), string(lot), &stored)
+	return stored, version, err
+}
+
+// Name names the lot where a process is chosen for it; each hop chooses anew.
+func (l Lot) Name(id ID) string {
+	if l.Hops == 0 {
+		return string(id) + string(l.ID)
+	}
+	return fmt.Sprintf("%s%s/%d", id, l.ID, l.Hops)
+}
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -10,7 +10,6 @@
 	"github.com/samber/oops"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/lease"
 	"rhubarbrudder/internal/platform"
 )
 
@@ -34,6 +33,8 @@
 type Store struct {
 	table   Table
 	objects Objects
+	// pause waits between repeats and reports whether ctx still lives.
+	pause func(ctx context.Context, length time.Duration) bool
 }
 
 // NewStore returns a store on the platform.
@@ -41,6 +42,7 @@
 	return &Store{
 		table:   table,
 		objects: objects,
+		pause:   pause,
 	}
 }
 
@@ -103,11 +105,17 @@
 // settleAttempts bounds the repeats of a write whose outcome is unknown.
 const settleAttempts = 5
 
+// settlePause is the pause before the first repeat; it doubles with each.
+const settlePause = 50 * time.Millisecond
+
 // settle commits the writes. An unknown outcome is settled by repeating the same conditional writes;
 // a conflict after that is ours if applied says so.
 func (s *Store) settle(ctx context.Context, class platform.Class, writes []platform.Write, applied func() (bool, error)) error {
 	unknown := false
-	for range settleAttempts {
+	for attempt := range settleAttempts {
+		if attempt > 0 && !s.pause(ctx, settlePause<<attempt) {
+			return ErrUnknown
+		}
 		err := s.table.Commit(ctx, platform.Txn{
 			Class:  class,
 			Writes: writes,
@@ -136,6 +144,18 @@
 	return ErrUnknown
 }
 
+// pause waits and reports whether ctx still lives.
+func pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // File returns a file of the organisation.
 func (s *Store) File(ctx context.Context, organisation document.OrganisationID, id FileID) (File, error) {
 	var file File
@@ -195,6 +215,7 @@
 		Due:          job.Due,
 		Created:      job.Created,
 		Cancelled:    !job.Cancelled.IsZero(),
+		Once:         job.Once,
 	}
 }
 
@@ -309,103 +330,3 @@
 		return stored.State == job.State && stored.Cancelled.Equal(job.Cancelled), err
 	})
 }
-
-// LotRow is a lot and the version of its row, which fences it.
-type LotRow struct {
-	Lot
-	Version platform.Version
-}
-
-// Lots returns the lots of a job that have rows, in order.
-func (s *Store) Lots(ctx context.Context, id ID) ([]LotRow, error) {
-	rows, err := s.table.All(ctx, partitionLot+string(id))
-	if err != nil {
-		return nil, storeError(err)
-	}
-	lots := make([]LotRow, 0, len(rows))
-	for _, row := range rows {
-		lot := LotRow{
-			Version: row.Version,
-		}
-		if err := json.Unmarshal(row.Data, &lot.Lot); err != nil {
-			return nil, oops.In("job").Wrap(err)
-		}
-		lots = append(lots, lot)
-	}
-	return lots, nil
-}
-
-// Claim takes a lot for the session, unless the job changed since active was read or the lot's row since lot was.
-// A lot without a row has version zero.
-func (s *Store) Claim(ctx context.Context, active ActiveRow, lot LotRow, session lease.SessionID) (LotRow, error) {
-	lot.State = LotClaimed
-	lot.Session = session
-	lot.Claim++
-	write, err := put(partitionLot+string(active.Job), string(lot.ID), lot.Version, lot.Lot)
-	if err != nil {
-		return LotRow{}, err
-	}
-	check := platform.Write{
-		Key:     key(partitionActive, string(active.Job)),
-		Action:  platform.ActionCheck,
-		Version: active.Version,
-	}
-	err = s.settle(ctx, platform.ClassClaim, []platform.Write{write, check}, func() (bool, error) {
-		return s.holds(ctx, active.Job, lot.Lot)
-	})
-	lot.Version++
-	return lot, err
-}
-
-// holds reports whether the stored lot is still in the given claim's hands.
-func (s *Store) holds(ctx context.Context, id ID, lot Lot) (bool, error) {
-	var stored Lot
-	_, err := s.get(ctx, partitionLot+string(id), string(lot.ID), &stored)
-	return stored.Session == lot.Session && stored.Claim == lot.Claim, err
-}
-
-// Save stores progress of a claimed lot and returns the lot with its new version. ErrFenced means that the claim is lost.
-func (s *Store) Save(ctx context.Context, id ID, lot LotRow, progress Checkpoint) (LotRow, error) {
-	data, err := json.Marshal(progress)
-	if err != nil {
-		return lot, oops.In("job").Wrap(err)
-	}
-	lot.Checkpoint = ResultObject(id, lot.ID, lot.Session, lot.Claim, "checkpoint-"+time.Now().UTC().Format("150405.000000"))
-	if err := putObject(ctx, s.objects, lot.Checkpoint, data); err != nil {
-		return lot, err
-	}
-	return s.update(ctx, id, lot)
-}
-
-// update writes the row of a lot that this process holds.
-func (s *Store) update(ctx context.Context, id ID, lot LotRow, more ...platform.Write) (LotRow, error) {
-	write, err := put(partitionLot+string(id), string(lot.ID), lot.Version, lot.Lot)
-	if err != nil {
-		return lot, err
-	}
-	err = s.settle(ctx, platform.ClassCommit, append([]platform.Write{write}, more...), func() (bool, error) {
-		var stored Lot
-		_, err := s.get(ctx, partitionLot+string(id), string(lot.ID), &stored)
-		return stored == lot.Lot, err
-	})
-	if err == nil {
-		lot.Version++
-	}
-	return lot, err
-}
-
-// Progress returns the progress of a lot's earlier claims.
-func (s *Store) Progress(ctx context.Context, lot Lot) (Checkpoint, error) {
-	progress := NewCheckpoint()
-	if lot.Checkpoint == "" {
-		return progress, nil
-	}
-	data, err := s.objects.Get(ctx, lot.Checkpoint)
-	if err != nil {
-		return progress, storeError(err)
-	}
-	if err := json.Unmarshal(data, &progress); err != nil {
-		return progress, oops.In("job").Wrap(err)
-	}
-	return progress, nil
-}
--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -44,6 +44,9 @@
 		Log:      b.log,
 	})
 	sessions.OnLost(worker.SessionLost)
+	if err := b.server.Register("Dispatcher", dispatcher.NewService(worker)); err != nil {
+		return err
+	}
 	group := &run.Group{}
 	if err := b.common(ctx, group, at); err != nil {
 		return err
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -6,6 +6,7 @@
 
 	"github.com/oklog/run"
 
+	"rhubarbrudder/internal/dispatcher"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/gateway"
@@ -34,6 +35,7 @@
 		Members:  b.fleet,
 		Router:   router.New(picker, endpoint.NewClient(), reporter, b.notes, b.log),
 		Jobs:     b.jobs,
+		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Limiter:  organisation.NewLimiter(),
 		Log:      b.log,
 	})
--- /dev/null
+++ b/test/batch_cancel_test.go
@@ -0,0 +1,263 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/standin"
+)
+
+// cancelGrace is how long after an acknowledged cancellation an item may still start.
+const cancelGrace = 3 * time.Second
+
+// TestBatchCancelStops cancels a job under faults: no item starts later than the grace after the acknowledgement,
+// and the counts are those of the stored results.
+func TestBatchCancelStops(t *testing.T) {
+	const items, tokens = 1200, 10
+	cases := map[string]struct {
+		net    int
+		before func(c *cluster)
+		after  func(c *cluster)
+	}{
+		"table away after the acknowledgement": {
+			net: 40,
+			after: func(c *cluster) {
+				c.platform.Table.Faults.Set(standin.Fault{
+					Outage: true,
+				})
+				time.Sleep(cancelGrace + 3*time.Second)
+				c.platform.Table.Faults.Set(standin.Fault{})
+			},
+		},
+		"dispatcher frozen over the cancellation": {
+			net: 41,
+			before: func(c *cluster) {
+				c.signal(fleet.RoleDispatcher, 1, syscall.SIGSTOP)
+			},
+			after: func(c *cluster) {
+				time.Sleep(cancelGrace + 2*time.Second)
+				c.signal(fleet.RoleDispatcher, 1, syscall.SIGCONT)
+			},
+		},
+		"dispatcher killed at the cancellation": {
+			net: 42,
+			after: func(c *cluster) {
+				c.signal(fleet.RoleDispatcher, 1, syscall.SIGKILL)
+				c.waitExit(fleet.RoleDispatcher, 1)
+			},
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, batchCluster(tt.net))
+			client := c.client(0)
+			batch := submit(t, client, batchInput(items, tokens, sheet))
+			check := batchCheck{
+				c:  c,
+				id: job.ID(batch.ID),
+			}
+			check.waitRuns(t, 60)
+			if tt.before != nil {
+				tt.before(c)
+			}
+			_, err := client.Batches.Cancel(context.Background(), batch.ID)
+			assert.NilError(t, err)
+			acknowledged := time.Now()
+			tt.after(c)
+			waitStatus(t, c.client(2), batch.ID, openai.BatchStatusCancelled)
+			assert.Equal(t, check.startedAfter(acknowledged.Add(cancelGrace)), 0)
+			row := check.row(t)
+			assert.Equal(t, row.Counts.Completed+row.Counts.Failed, len(check.results(t)))
+			assert.Assert(t, len(check.results(t)) < items)
+			t.Logf("%d results kept, %d items started after the acknowledgement", len(check.results(t)), check.startedAfter(acknowledged))
+		})
+	}
+}
+
+// TestBatchSubmittedTwice sends the same submission at once to different gateways while answers are lost.
+func TestBatchSubmittedTwice(t *testing.T) {
+	t.Parallel()
+	const items, tokens = 40, 5
+	c := newCluster(t, batchCluster(43))
+	client := c.client(0)
+	file, err := client.Files.New(context.Background(), openai.FileNewParams{
+		File:    openai.File(strings.NewReader(batchInput(items, tokens, sheet)), "input.jsonl", "application/jsonl"),
+		Purpose: openai.FilePurposeBatch,
+	})
+	assert.NilError(t, err)
+	lose(c.platform.Table.Faults, "Job", 4)
+	ids := make([]string, 12)
+	var sent sync.WaitGroup
+	for i := range ids {
+		sent.Go(func() {
+			waitFor(t, "submission", readyTimeout, func() bool {
+				client := c.client(i % 3)
+				batch, err := client.Batches.New(context.Background(), openai.BatchNewParams{
+					InputFileID:      file.ID,
+					Endpoint:         openai.BatchNewParamsEndpointV1ChatCompletions,
+					CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+				}, option.WithHeader("Idempotency-Key", "evening-sheets"))
+				if err == nil {
+					ids[i] = batch.ID
+				}
+				return err == nil
+			})
+		})
+	}
+	sent.Wait()
+	for _, id := range ids {
+		assert.Equal(t, id, ids[0])
+	}
+	waitStatus(t, c.client(1), ids[0], openai.BatchStatusCompleted)
+	assert.Equal(t, len(c.platform.Table.Rows("Job")), 1)
+	batchCheck{
+		c:       c,
+		id:      job.ID(ids[0]),
+		items:   items,
+		tokens:  tokens,
+		content: sheet,
+	}.whole(t)
+}
+
+// submitOnce makes a job of calls that may run at most once.
+func submitOnce(t *testing.T, c *cluster, items int) job.ID {
+	t.Helper()
+	const path = "/services/booking/confirm"
+	var input strings.Builder
+	for i := range items {
+		_, _ = fmt.Fprintf(&input, `{"custom_id":"item-%d","method":"POST","url":"%s","body":{"Seat":%d}}`+"\n", i, path, i)
+	}
+	client := c.client(0)
+	file, err := client.Files.New(context.Background(), openai.FileNewParams{
+		File:    openai.File(strings.NewReader(input.String()), "input.jsonl", "application/jsonl"),
+		Purpose: openai.FilePurposeBatch,
+	})
+	assert.NilError(t, err)
+	body := fmt.Sprintf(`{"input_file_id":"%s","endpoint":"%s","completion_window":"24h"}`, file.ID, path)
+	request, err := http.NewRequest(http.MethodPost, c.gatewayURL(0)+"/v1/batches", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	var made struct {
+		ID string `json:"id"`
+	}
+	assert.NilError(t, json.Unmarshal(data, &made))
+	assert.Assert(t, made.ID != "", "%s", data)
+	return job.ID(made.ID)
+}
+
+// TestBatchRunsNonIdempotentItemsAtMostOnce kills and freezes dispatchers while calls run that may not be repeated.
+func TestBatchRunsNonIdempotentItemsAtMostOnce(t *testing.T) {
+	t.Parallel()
+	const items = 400
+	options := batchCluster(44)
+	options.engines = 1
+	options.plain = 3
+	c := newCluster(t, options)
+	for _, plain := range c.plains {
+		plain.Delay = 400 * time.Millisecond
+	}
+	calls := func() []standin.Run {
+		var found []standin.Run
+		for _, plain := range c.plains {
+			for _, run := range plain.Record.Runs() {
+				if run.Path == "/confirm" {
+					found = append(found, run)
+				}
+			}
+		}
+		return found
+	}
+	check := batchCheck{
+		c:  c,
+		id: submitOnce(t, c, items),
+	}
+	waitFor(t, "calls to run", readyTimeout, func() bool { return len(calls()) > 30 })
+	c.signal(fleet.RoleDispatcher, 0, syscall.SIGSTOP)
+	c.signal(fleet.RoleDispatcher, 1, syscall.SIGKILL)
+	waitFor(t, "takeovers", readyTimeout, func() bool {
+		return strings.Count(c.processes["dispatcher-2"].text(), "session taken over") == 2
+	})
+	c.signal(fleet.RoleDispatcher, 0, syscall.SIGCONT)
+	waitStatus(t, c.client(2), string(check.id), openai.BatchStatusCompleted)
+	assert.Assert(t, check.row(t).Once)
+	begun := map[string]bool{}
+	for _, run := range calls() {
+		assert.Assert(t, !begun[run.RequestID], "call %s ran twice", run.RequestID)
+		begun[run.RequestID] = true
+	}
+	results := check.results(t)
+	assert.Equal(t, len(results), items, "lost items")
+	unknown := 0
+	for id, result := range results {
+		if result.Failed() {
+			assert.Equal(t, result.Error.Code, "outcome_unknown", "%s: %+v", id, result.Error)
+			unknown++
+			continue
+		}
+		assert.Assert(t, begun[string(result.ID)], "item %s has a result that no service gave", id)
+	}
+	assert.Assert(t, len(begun) <= items)
+	t.Logf("%d items, %d calls ran, %d outcomes unknown", items, len(begun), unknown)
+}
+
+// TestBatchEndsDespiteBadItems mixes items that kill their answer, are refused, and are slow into a job.
+func TestBatchEndsDespiteBadItems(t *testing.T) {
+	t.Parallel()
+	const items, tokens = 120, 16
+	mark := map[int]string{
+		7:  standin.CrashMark,
+		50: standin.NeverMark,
+		73: standin.SlowMark,
+	}
+	content := func(i int) string {
+		return sheet(i) + mark[i]
+	}
+	options := batchCluster(45)
+	options.engine.TokenInterval = 40 * time.Millisecond
+	c := newCluster(t, options)
+	client := c.client(0)
+	batch := submit(t, client, batchInput(items, tokens, content))
+	check := batchCheck{
+		c:       c,
+		id:      job.ID(batch.ID),
+		items:   items,
+		tokens:  tokens,
+		content: content,
+		fails: func(i int) bool {
+			return i == 7 || i == 50
+		},
+	}
+	waitStatus(t, client, batch.ID, openai.BatchStatusCompleted)
+	check.whole(t)
+	results := check.results(t)
+	assert.Equal(t, results["item-7"].Error.Code, "attempts_exhausted")
+	assert.Equal(t, results["item-50"].Error.Code, "item_refused")
+	var remainders []string
+	for _, row := range c.platform.Table.Rows("Lot/" + batch.ID) {
+		if strings.Contains(row.Key.Sort, "-") {
+			remainders = append(remainders, row.Key.Sort)
+		}
+	}
+	assert.Assert(t, len(remainders) > 0, "no remainder was split off")
+	t.Logf("remainders: %v", remainders)
+}
--- /dev/null
+++ b/test/batch_check_test.go
@@ -0,0 +1,125 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/standin"
+)
+
+// batchCheck judges a job by the stand-ins' records alone.
+type batchCheck struct {
+	c      *cluster
+	id     job.ID
+	items  int
+	tokens int
+	// content is the prompt of an item; fails says that it can never be done.
+	content func(i int) string
+	fails   func(i int) bool
+}
+
+// row returns the job's stored row.
+func (b batchCheck) row(t *testing.T) job.Job {
+	t.Helper()
+	var found job.Job
+	for _, row := range b.c.platform.Table.Rows("Job") {
+		if row.Key.Sort == string(b.id) {
+			assert.NilError(t, json.Unmarshal(row.Data, &found))
+		}
+	}
+	assert.Equal(t, found.ID, b.id)
+	return found
+}
+
+// results returns the stored result lines of the lots' rows by their items; a doubled line fails the test.
+func (b batchCheck) results(t *testing.T) map[string]job.Result {
+	t.Helper()
+	found := map[string]job.Result{}
+	for _, row := range b.c.platform.Table.Rows("Lot/" + string(b.id)) {
+		var lot job.Lot
+		assert.NilError(t, json.Unmarshal(row.Data, &lot))
+		for _, name := range []platform.ObjectName{lot.Results, lot.Errors} {
+			if name == "" {
+				continue
+			}
+			data, ok := b.c.platform.Objects.Data(name)
+			assert.Assert(t, ok, "lost object %s", name)
+			for line := range bytes.Lines(data) {
+				var result job.Result
+				assert.NilError(t, json.Unmarshal(line, &result))
+				_, twice := found[result.CustomID]
+				assert.Assert(t, !twice, "doubled item %s", result.CustomID)
+				found[result.CustomID] = result
+			}
+		}
+	}
+	return found
+}
+
+// finished returns the requests that ran to their end at the engines.
+func (b batchCheck) finished() map[request.ID]bool {
+	found := map[request.ID]bool{}
+	for _, engine := range b.c.engines {
+		for _, run := range engine.Record.Runs() {
+			if run.Finished {
+				found[request.ID(run.RequestID)] = true
+			}
+		}
+	}
+	return found
+}
+
+// whole fails the test unless each accepted item has exactly one whole and readable result.
+func (b batchCheck) whole(t *testing.T) {
+	t.Helper()
+	results := b.results(t)
+	finished := b.finished()
+	assert.Equal(t, len(results), b.items, "lost items")
+	failed := 0
+	for i := range b.items {
+		result, ok := results[fmt.Sprintf("item-%d", i)]
+		assert.Assert(t, ok, "lost item %d", i)
+		if b.fails != nil && b.fails(i) {
+			failed++
+			assert.Assert(t, result.Failed(), "item %d", i)
+			continue
+		}
+		assert.Assert(t, !result.Failed(), "item %d failed: %+v", i, result.Error)
+		text := gjson.GetBytes(result.Response.Body, "choices.0.message.content").String()
+		assert.Equal(t, text, standin.Answer(b.content(i), b.tokens), "item %d", i)
+		assert.Assert(t, finished[result.ID], "item %d has a result that no engine gave", i)
+	}
+	row := b.row(t)
+	assert.Equal(t, row.State, job.StateCompleted)
+	assert.Equal(t, row.Counts.Completed, b.items-failed)
+	assert.Equal(t, row.Counts.Failed, failed)
+	t.Logf("%d items, %d engine runs finished, %d of them beyond one an item", b.items, len(finished), len(finished)-(b.items-failed))
+}
+
+// startedAfter counts the engine runs that began after the time.
+func (b batchCheck) startedAfter(at time.Time) int {
+	count := 0
+	for _, run := range b.runs() {
+		if run.Started.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
+func (b batchCheck) runs() []standin.Run {
+	var runs []standin.Run
+	for _, engine := range b.c.engines {
+		runs = append(runs, engine.Record.Runs()...)
+	}
+	return runs
+}
