--- a/internal/job/model_test.go
+++ b/internal/job/model_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return bytes.Compare([]byte(a.Key.Sort), []byte(b.Key.Sort)) })
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
 	return rows, nil
 }
 
@@ -85,6 +86,7 @@
 			}
 		case platform.ActionDelete:
 			delete(f.rows, write.Key)
+		case platform.ActionCheck:
 		}
 	}
 	if fate == fateApplied {
@@ -382,6 +384,7 @@
 	job, _, err := m.store.jobRow(context.Background(), m.id)
 	assert.NilError(t, err)
 	switch job.State {
+	case StateRunning, StateCancelling:
 	case StateCompleted:
 		assert.Equal(t, len(found), job.Items, "lost items")
 		assert.Equal(t, job.Counts.Completed, job.Items)
