--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/oklog/run"
 
 	"rhubarbrudder/internal/burn"
+	"rhubarbrudder/internal/dispatcher"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/gateway"
@@ -42,6 +43,7 @@
 		Router:   burn.NewWatch(routes, b.follower, counters),
 		Jobs:     b.jobs,
 		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
+		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Log:      b.log,
 	})
 	group := &run.Group{}
