Calls that may not be repeated run at most once

Cause: a non-idempotent call had no record, so a resend ran it again; the transport itself sent a POST with an empty body and an Idempotency-Key twice on a reused connection; an encoded slash let a caller's path name another host or reach a non-idempotent path around its prefix.

Now: internal/call puts a record before dispatch and the answer after; resends get the answer, call_in_progress or outcome_unknown; another request under the key 422. Paths not in their shortest form are refused; the endpoint's URL is built without resolving references. Unknown paths, models, services and large bodies get their own statuses in the published shape.

Not told apart by a test: the second read before outcome_unknown (it only turns a refusal into an answer).

Two table writes a call, four sendings or fewer in TestResend. Ruled out: sessions of gateways, one transaction for several calls (docs/DECISIONS/0200).

--- /dev/null
+++ b/internal/call/call_test.go
@@ -0,0 +1,392 @@
+package call_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rhubarbrudder/internal/call"
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/request"
+)
+
+func init() {
+	for name, value := range map[string]string{
+		"rapid.seed":   "20261204",
+		"rapid.checks": "2000",
+		"rapid.steps":  "40",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// fate is what becomes of one write.
+type fate string
+
+const (
+	fateApplied     fate = "applied"
+	fateAnswerLost  fate = "applied, answer lost"
+	fateWriteLost   fate = "lost"
+	fateDelayed     fate = "applied later, answer lost"
+	fateUnavailable fate = "refused"
+)
+
+// table is a naive table service whose writes meet the fates in order; it keeps objects too.
+type table struct {
+	mu      sync.Mutex
+	rows    map[platform.Key]platform.Row
+	objects map[platform.ObjectName][]byte
+	fates   []fate
+	delayed []platform.Write
+	commits int
+}
+
+func newTable() *table {
+	return &table{
+		rows:    map[platform.Key]platform.Row{},
+		objects: map[platform.ObjectName][]byte{},
+	}
+}
+
+func (f *table) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *table) apply(write platform.Write) error {
+	if write.Condition == platform.ConditionVersion && f.rows[write.Key].Version != write.Version {
+		return platform.ErrConflict
+	}
+	f.rows[write.Key] = platform.Row{
+		Key:     write.Key,
+		Version: write.Version + 1,
+		Data:    write.Data,
+	}
+	return nil
+}
+
+func (f *table) Commit(_ context.Context, txn platform.Txn) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	next := fateApplied
+	if len(f.fates) > 0 {
+		next, f.fates = f.fates[0], f.fates[1:]
+	}
+	write := txn.Writes[0]
+	switch next {
+	case fateAnswerLost:
+		_ = f.apply(write)
+		return platform.ErrUnknown
+	case fateWriteLost:
+		return platform.ErrUnknown
+	case fateDelayed:
+		f.delayed = append(f.delayed, write)
+		return platform.ErrUnknown
+	case fateUnavailable:
+		return platform.ErrUnavailable
+	default:
+		return f.apply(write)
+	}
+}
+
+// land applies the oldest delayed write, if its condition still holds.
+func (f *table) land() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.delayed) > 0 {
+		_ = f.apply(f.delayed[0])
+		f.delayed = f.delayed[1:]
+	}
+}
+
+// meet sets the fates of the next writes.
+func (f *table) meet(fates ...fate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fates = fates
+}
+
+func (f *table) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.commits
+}
+
+// objectStore is the table's objects.
+type objectStore struct {
+	table *table
+}
+
+func (o objectStore) Put(_ context.Context, name platform.ObjectName, data []byte) error {
+	o.table.mu.Lock()
+	defer o.table.mu.Unlock()
+	o.table.objects[name] = data
+	return nil
+}
+
+func (o objectStore) Get(_ context.Context, name platform.ObjectName) ([]byte, error) {
+	o.table.mu.Lock()
+	defer o.table.mu.Unlock()
+	return o.table.objects[name], nil
+}
+
+// network carries queries between gateways that are not cut off.
+type network struct {
+	gateways map[string]*call.Calls
+	cut      map[string]bool
+}
+
+var errCut = errors.New("cut off")
+
+func (n *network) Call(_ context.Context, address, _ string, args, reply any) error {
+	target, ok := n.gateways[address]
+	if !ok || n.cut[address] {
+		return errCut
+	}
+	return call.NewService(target).State(args.(call.Query), reply.(*call.Reply))
+}
+
+func (n *network) start(f *table, address string) {
+	n.gateways[address] = call.New(f, objectStore{
+		table: f,
+	}, n, call.Owner{
+		Member:  address,
+		Address: address,
+	}, slog.New(slog.DiscardHandler))
+}
+
+func newNetwork(f *table, gateways int) *network {
+	n := &network{
+		gateways: map[string]*call.Calls{},
+		cut:      map[string]bool{},
+	}
+	for i := range gateways {
+		n.start(f, address(i))
+	}
+	return n
+}
+
+func address(i int) string {
+	return fmt.Sprintf("gateway-%d", i)
+}
+
+func name(key string) call.Name {
+	return call.Name{
+		Organisation: "lawinenwerk",
+		Service:      "booking",
+		Key:          key,
+	}
+}
+
+// open is a claim that was granted and has not ended.
+type open struct {
+	claim *call.Claim
+	key   string
+	ran   bool
+}
+
+// world is the naive model: it counts the runs of each key and keeps the answer of each run.
+type world struct {
+	table    *table
+	network  *network
+	open     []*open
+	runs     map[string]int
+	answers  map[string]string
+	attempts int
+}
+
+func (w *world) begin(t *rapid.T) {
+	at := address(rapid.IntRange(0, 2).Draw(t, "gateway"))
+	key := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")
+	w.table.meet(rapid.SliceOfN(rapid.SampledFrom([]fate{fateApplied, fateAnswerLost, fateWriteLost, fateDelayed, fateUnavailable}), 0, 3).Draw(t, "fates")...)
+	w.attempts++
+	claim, answer, err := w.network.gateways[at].Begin(t.Context(), name(key), document.HashOf(key), request.ID(strconv.Itoa(w.attempts)))
+	w.table.meet()
+	switch {
+	case claim != nil:
+		w.open = append(w.open, &open{
+			claim: claim,
+			key:   key,
+		})
+	case answer != nil:
+		if string(answer.Body) != w.answers[key] {
+			t.Fatalf("answer of key %s: got %q, want %q", key, answer.Body, w.answers[key])
+		}
+	case err == nil:
+		t.Fatal("neither claim nor answer nor error")
+	}
+}
+
+func (w *world) take(t *rapid.T) *open {
+	if len(w.open) == 0 {
+		t.Skip("nothing is open")
+	}
+	i := rapid.IntRange(0, len(w.open)-1).Draw(t, "open")
+	taken := w.open[i]
+	w.open = append(w.open[:i], w.open[i+1:]...)
+	return taken
+}
+
+func (w *world) run(t *rapid.T, taken *open) {
+	w.runs[taken.key]++
+	taken.ran = true
+	if w.runs[taken.key] > 1 {
+		t.Fatalf("key %s ran %d times", taken.key, w.runs[taken.key])
+	}
+}
+
+func (w *world) finish(t *rapid.T) {
+	taken := w.take(t)
+	w.run(t, taken)
+	w.answers[taken.key] = fmt.Sprintf("answer %d of %s", w.attempts, taken.key)
+	w.table.meet(rapid.SliceOfN(rapid.SampledFrom([]fate{fateApplied, fateAnswerLost, fateWriteLost, fateDelayed, fateUnavailable}), 0, 2).Draw(t, "fates")...)
+	taken.claim.Finish(t.Context(), call.Answer{
+		Status: 200,
+		Body:   []byte(w.answers[taken.key]),
+	})
+	w.table.meet()
+}
+
+func (w *world) abandon(t *rapid.T) {
+	taken := w.take(t)
+	w.run(t, taken)
+	taken.claim.Abandon()
+}
+
+func (w *world) release(t *rapid.T) {
+	taken := w.take(t)
+	w.table.meet(rapid.SliceOfN(rapid.SampledFrom([]fate{fateApplied, fateAnswerLost, fateWriteLost, fateDelayed, fateUnavailable}), 0, 1).Draw(t, "fates")...)
+	taken.claim.Release(t.Context())
+	w.table.meet()
+}
+
+// lose kills a gateway; its open claims may still run, as those of a paused process do.
+func (w *world) lose(t *rapid.T) {
+	w.network.start(w.table, address(rapid.IntRange(0, 2).Draw(t, "gateway")))
+}
+
+func (w *world) cut(t *rapid.T) {
+	at := address(rapid.IntRange(0, 2).Draw(t, "gateway"))
+	w.network.cut[at] = !w.network.cut[at]
+}
+
+// timeless hides the test's deadline, which is of another clock than the bubble's.
+type timeless struct {
+	rapid.TB
+}
+
+// TestNoCallRunsTwice lets gateways begin, end and lose calls while writes are lost, delayed and refused.
+func TestNoCallRunsTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(timeless{TB: t}, func(t *rapid.T) {
+			f := newTable()
+			w := &world{
+				table:   f,
+				network: newNetwork(f, 3),
+				runs:    map[string]int{},
+				answers: map[string]string{},
+			}
+			t.Repeat(map[string]func(*rapid.T){
+				"begin":   w.begin,
+				"begin 2": w.begin,
+				"finish":  w.finish,
+				"abandon": w.abandon,
+				"release": w.release,
+				"lose":    w.lose,
+				"cut":     w.cut,
+				"land":    func(*rapid.T) { f.land() },
+			})
+		})
+	})
+}
+
+// TestResend sends a key again after each way the first sending may have ended.
+func TestResend(t *testing.T) {
+	cases := map[string]struct {
+		end     func(t *testing.T, n *network, claim *call.Claim)
+		hash    document.Hash
+		answer  string
+		wantErr error
+	}{
+		"answered": {
+			end: func(t *testing.T, _ *network, claim *call.Claim) {
+				claim.Finish(t.Context(), call.Answer{
+					Body: []byte("seat 4"),
+				})
+			},
+			answer: "seat 4",
+		},
+		"large answer": {
+			end: func(t *testing.T, _ *network, claim *call.Claim) {
+				claim.Finish(t.Context(), call.Answer{
+					Body: []byte(strings.Repeat("x", 1<<20)),
+				})
+			},
+			answer: strings.Repeat("x", 1<<20),
+		},
+		"running": {
+			wantErr: call.ErrInProgress,
+		},
+		"running, cut off": {
+			end:     func(_ *testing.T, n *network, _ *call.Claim) { n.cut[address(0)] = true },
+			wantErr: call.ErrOutcomeUnknown,
+		},
+		"abandoned": {
+			end:     func(_ *testing.T, _ *network, claim *call.Claim) { claim.Abandon() },
+			wantErr: call.ErrOutcomeUnknown,
+		},
+		"gateway gone": {
+			end:     func(_ *testing.T, n *network, _ *call.Claim) { delete(n.gateways, address(0)) },
+			wantErr: call.ErrOutcomeUnknown,
+		},
+		"released": {
+			end: func(t *testing.T, _ *network, claim *call.Claim) { claim.Release(t.Context()) },
+		},
+		"another request": {hash: document.HashOf("another"), wantErr: call.ErrKeyReused},
+		"another, released": {
+			end:  func(t *testing.T, _ *network, claim *call.Claim) { claim.Release(t.Context()) },
+			hash: document.HashOf("another"),
+		},
+	}
+	for title, tt := range cases {
+		t.Run(title, func(t *testing.T) {
+			f := newTable()
+			n := newNetwork(f, 2)
+			claim, _, err := n.gateways[address(0)].Begin(t.Context(), name("key"), document.HashOf("request"), "1")
+			assert.NilError(t, err)
+			if tt.end != nil {
+				tt.end(t, n, claim)
+			}
+			hash := tt.hash
+			if hash == "" {
+				hash = document.HashOf("request")
+			}
+			again, answer, err := n.gateways[address(1)].Begin(t.Context(), name("key"), hash, "2")
+			assert.ErrorIs(t, err, tt.wantErr)
+			assert.Equal(t, again != nil, tt.wantErr == nil && tt.answer == "")
+			if tt.answer != "" {
+				assert.Equal(t, string(answer.Body), tt.answer)
+			}
+			assert.Assert(t, f.count() <= 4)
+		})
+	}
+}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -64,19 +65,27 @@
 // Send sends the request with the body to the endpoint. Cancelling ctx cancels the request at the endpoint.
 // ErrNotSent means that not a byte went out.
 func (c *Client) Send(ctx context.Context, target Endpoint, r request.Request, body []byte) (*Answer, error) {
-	base := sling.New().Client(c.http).Base("http://" + target.Address)
-	req, err := base.Path(r.Path).Body(bytes.NewReader(body)).Request()
+	at, err := url.ParseRequestURI(r.Path)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	req, err := sling.New().Client(c.http).Base("http://" + target.Address).Body(bytes.NewReader(body)).Request()
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	req = req.WithContext(ctx)
+	// Resolving the path against the base could change the host.
+	at.Scheme = req.URL.Scheme
+	at.Host = req.URL.Host
+	req.URL = at
 	req.Method = r.Method
 	copyHeader(req.Header, r.Header)
 	req.Header.Set(HeaderRequestID, string(r.ID))
 	req.Header.Set(HeaderClass, string(r.Class))
 	if !r.Idempotent {
-		// Without GetBody the transport never sends a request twice by itself.
+		// Without GetBody, and with a body even if it is empty, the transport never sends a request twice by itself.
 		req.GetBody = nil
+		req.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	response, err := c.http.Do(req)
 	if err != nil {
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"errors"
 	"net/http"
+	"net/url"
+	"path"
 	"slices"
 	"strings"
 	"time"
@@ -49,15 +51,15 @@
 	name := document.ServiceName(c.r.PathValue("service"))
 	service, ok := c.view.Services[name]
 	if !ok || service.Kind != document.KindPlain {
-		return request.Invalid("service_not_found", "there is no such service")
+		return errUnknownService
 	}
 	body, err := c.body()
 	if err != nil {
 		return err
 	}
-	path := "/" + c.r.PathValue("path")
-	if c.r.URL.RawQuery != "" {
-		path += "?" + c.r.URL.RawQuery
+	target, err := plainTarget(c.r)
+	if err != nil {
+		return err
 	}
 	return g.forward(c, request.Request{
 		ID:           c.id,
@@ -65,21 +67,38 @@
 		Service:      name,
 		Class:        request.ClassOnline,
 		Method:       c.r.Method,
-		Path:         path,
+		Path:         target.RequestURI(),
 		Header:       c.r.Header,
 		Body:         body,
-		Idempotent:   idempotent(service, c.r.Method, path),
+		Idempotent:   idempotent(service, c.r.Method, target.Path),
 		Deadline:     time.Now().Add(requestDeadline),
 	})
 }
 
+// plainTarget returns the path and query at the service. A path that reads otherwise once it is cleaned is
+// refused: it could name another host, or a path that may not be repeated.
+func plainTarget(r *http.Request) (url.URL, error) {
+	target := url.URL{
+		Path:     "/" + r.PathValue("path"),
+		RawQuery: r.URL.RawQuery,
+	}
+	clean := path.Clean(target.Path)
+	if strings.HasSuffix(target.Path, "/") && clean != "/" {
+		clean += "/"
+	}
+	if clean != target.Path {
+		return url.URL{}, request.Invalid("invalid_path", "the path is not in its shortest form")
+	}
+	return target, nil
+}
+
 // idempotent reports whether a call of a plain service may be repeated.
-func idempotent(service document.Service, method, path string) bool {
+func idempotent(service document.Service, method, target string) bool {
 	if method == http.MethodGet || method == http.MethodHead {
 		return true
 	}
 	for _, prefix := range service.NonIdempotentPaths {
-		if strings.HasPrefix(path, prefix) {
+		if strings.HasPrefix(target, prefix) {
 			return false
 		}
 	}
@@ -94,6 +113,9 @@
 		return err
 	}
 	defer leave()
+	if !req.Idempotent {
+		return g.callOnce(c, req)
+	}
 	out := &sink{
 		w: c.w,
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	members  Members
 	router   Router
 	jobs     Jobs
+	calls    Calls
 	limiter  Limiter
 	log      *slog.Logger
 }
@@ -65,6 +66,7 @@
 	Members  Members
 	Router   Router
 	Jobs     Jobs
+	Calls    Calls
 	Limiter  Limiter
 	Log      *slog.Logger
 }
@@ -76,6 +78,7 @@
 		members:  parts.Members,
 		router:   parts.Router,
 		jobs:     parts.Jobs,
+		calls:    parts.Calls,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
 	}
@@ -95,6 +98,7 @@
 	mux.HandleFunc("GET /v1/batches/{batch}", g.as(g.serveBatch))
 	mux.HandleFunc("POST /v1/batches/{batch}/cancel", g.as(g.serveCancelBatch))
 	mux.HandleFunc("/services/{service}/{path...}", g.as(g.servePlain))
+	mux.HandleFunc("/", g.as(func(*caller) error { return errUnknownPath }))
 	return mux
 }
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"rhubarbrudder/internal/call"
 	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/organisation"
 	"rhubarbrudder/internal/request"
@@ -18,9 +19,12 @@
 const headerOutcome = "Rhubarbrudder-Outcome"
 
 var (
-	errBodyTooLarge = request.Invalid("body_too_large", "the body is too large")
-	errUnknownModel = request.Invalid("model_not_found", "no service serves the model")
-	errBegun        = errors.New("gateway: answer broke off after it had begun")
+	errBodyTooLarge   = request.Reject(http.StatusRequestEntityTooLarge, "body_too_large", "the body is too large")
+	errUnknownModel   = request.Reject(http.StatusNotFound, "model_not_found", "no service serves the model")
+	errUnknownService = request.Reject(http.StatusNotFound, "service_not_found", "there is no such service")
+	errUnknownPath    = request.Reject(http.StatusNotFound, "not_found", "there is no such path or method")
+	errStreamedCall   = errors.New("gateway: a call's answer was streamed")
+	errBegun          = errors.New("gateway: answer broke off after it had begun")
 )
 
 // errorBody is an error in the published shape.
@@ -96,14 +100,20 @@
 		return ticket.Refuse(http.StatusNotFound, "not_found", "there is no such file or batch", 0)
 	case errors.Is(err, job.ErrKeyReused):
 		return ticket.Refuse(http.StatusConflict, "idempotency_key_reused", "the key was used with another request", 0)
+	case errors.Is(err, call.ErrKeyReused):
+		return ticket.Refuse(http.StatusUnprocessableEntity, "idempotency_key_reused", "the key was used with another request", 0)
+	case errors.Is(err, call.ErrInProgress):
+		return request.Unknown(http.StatusConflict, "call_in_progress", "an earlier request with the key is running", retrySoon)
+	case errors.Is(err, call.ErrOutcomeUnknown):
+		return request.Unknown(http.StatusConflict, "outcome_unknown", "an earlier request with the key may have run; its answer is lost, and it is not run again", 0)
+	case errors.Is(err, call.ErrUnavailable):
+		return ticket.Refuse(http.StatusServiceUnavailable, "store_unavailable", "this request can't be recorded now; whether an earlier one with the key ran can't be told", retrySoon)
 	case errors.Is(err, job.ErrUnknown):
-		ticket.Dispatch()
-		return ticket.Refuse(http.StatusServiceUnavailable, "outcome_unknown", "it is not known whether the request was accepted; send it again with the same Idempotency-Key", retrySoon)
+		return request.Unknown(http.StatusServiceUnavailable, "outcome_unknown", "it is not known whether the request was accepted; send it again with the same Idempotency-Key", retrySoon)
 	case errors.Is(err, job.ErrUnavailable):
 		return ticket.Refuse(http.StatusServiceUnavailable, "store_unavailable", "the request can't be accepted now", retrySoon)
 	}
-	ticket.Dispatch()
-	return ticket.Refuse(http.StatusInternalServerError, "internal_error", "the request failed", 0)
+	return request.Unknown(http.StatusInternalServerError, "internal_error", "the request failed", 0)
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -7,6 +7,7 @@
 
 	"github.com/oklog/run"
 
+	"rhubarbrudder/internal/call"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/gateway"
@@ -16,6 +17,9 @@
 	"rhubarbrudder/internal/steward"
 )
 
+// storeTimeout bounds how long a gateway that shuts down tries to store the answers of calls.
+const storeTimeout = time.Minute
+
 // RunGateway runs a gateway until ctx ends and every request is answered.
 func RunGateway(ctx context.Context, s settings.Settings, log *slog.Logger) error {
 	at := place{
@@ -34,11 +38,19 @@
 		First:   time.Duration(s.Timing.FirstToken),
 		Between: time.Duration(s.Timing.Token),
 	}
+	calls := call.New(b.table, b.objects, b.peers, call.Owner{
+		Member:  b.self.ID(),
+		Address: b.self.Address,
+	}, b.log)
+	if err := b.server.Register("Call", call.NewService(calls)); err != nil {
+		return err
+	}
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
 		Router:   router.New(picker, endpoint.NewClient(), reporter, stall, b.notes, b.log),
 		Jobs:     b.jobs,
+		Calls:    calls,
 		Limiter:  organisation.NewLimiter(),
 		Log:      b.log,
 	})
@@ -52,5 +64,11 @@
 	}
 	b.status.SetReady(true)
 	b.log.Info("gateway started", "address", s.VM.Join(s.Ports.Caller))
-	return group.Run()
+	if err := group.Run(); err != nil {
+		return err
+	}
+	stored, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	defer cancel()
+	calls.Wait(stored)
+	return nil
 }
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -87,10 +87,25 @@
 	return &vouched
 }
 
+// Unknown returns a refusal of a request that may have run, or whose earlier sending may have.
+func Unknown(status int, code, message string, retryAfter time.Duration) *Refusal {
+	return &Refusal{
+		Status:     status,
+		Code:       code,
+		Message:    message,
+		RetryAfter: retryAfter,
+	}
+}
+
 // Invalid returns a refusal of a request that can't be served as it is; it was not run.
 func Invalid(code, message string) *Refusal {
+	return Reject(http.StatusBadRequest, code, message)
+}
+
+// Reject is Invalid with a status of its own.
+func Reject(status int, code, message string) *Refusal {
 	return &Refusal{
-		Status:  http.StatusBadRequest,
+		Status:  status,
 		Code:    code,
 		Message: message,
 		notRun:  true,
--- /dev/null
+++ b/test/online_call_test.go
@@ -0,0 +1,454 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/standin"
+)
+
+const (
+	headerKey     = "Idempotency-Key"
+	headerOutcome = "Rhubarbrudder-Outcome"
+)
+
+// confirm sends a booking confirmation of which the path names the key.
+func (c *cluster) confirm(ctx context.Context, vm int, key string) (*http.Response, string, error) {
+	return c.post(ctx, vm, "/services/booking/confirm/"+key, `{"Beacon":4}`, map[string]string{
+		headerKey: key,
+	})
+}
+
+// runsOf counts the runs of each path in the records of the plain services.
+func (c *cluster) runsOf() map[string]int {
+	runs := map[string]int{}
+	for _, plain := range c.plains {
+		for _, run := range plain.Record.Runs() {
+			if key, found := strings.CutPrefix(run.Path, "/confirm/"); found {
+				runs[key]++
+			}
+		}
+	}
+	return runs
+}
+
+// TestResentConfirmationRunsOnce sends keys again in every way an answer can be missed.
+func TestResentConfirmationRunsOnce(t *testing.T) {
+	t.Parallel()
+	options := defaultCluster(55)
+	options.vms = 2
+	options.plain = 1
+	c := newOnlineCluster(t, options)
+	plain := c.plains[0]
+	cases := map[string]struct {
+		fault    standin.Fault
+		plain    standin.Misbehaviour
+		first    int
+		code     string
+		outcome  string
+		again    int
+		runs     int
+		replayed bool
+	}{
+		"answered": {
+			first:    http.StatusOK,
+			again:    http.StatusOK,
+			runs:     1,
+			replayed: true,
+		},
+		"answer of the record's write lost": {
+			fault: standin.Fault{
+				LoseNext: 1,
+				Kind:     "Call/",
+			},
+			first:    http.StatusOK,
+			again:    http.StatusOK,
+			runs:     1,
+			replayed: true,
+		},
+		"answers of both writes lost": {
+			fault: standin.Fault{
+				LoseNext: 4,
+				Kind:     "Call/",
+			},
+			first:    http.StatusOK,
+			again:    http.StatusOK,
+			runs:     1,
+			replayed: true,
+		},
+		"run and no answer": {
+			plain: standin.Misbehaviour{
+				Kind:  standin.MisbehaviourDrop,
+				Times: 1,
+			},
+			first:   http.StatusBadGateway,
+			code:    "outcome_unknown",
+			outcome: "unknown",
+			again:   http.StatusConflict,
+			runs:    1,
+		},
+		"answer of another call": {
+			plain: standin.Misbehaviour{
+				Kind:  standin.MisbehaviourCrossed,
+				Times: 1,
+			},
+			first:   http.StatusBadGateway,
+			code:    "outcome_unknown",
+			outcome: "unknown",
+			again:   http.StatusConflict,
+			runs:    1,
+		},
+		"refused by the service": {
+			plain: standin.Misbehaviour{
+				Kind:  standin.MisbehaviourRefuse,
+				Times: 1,
+			},
+			first:   http.StatusServiceUnavailable,
+			code:    "no_endpoint",
+			outcome: "not run",
+			again:   http.StatusOK,
+			runs:    1,
+		},
+		"platform out": {
+			fault: standin.Fault{
+				Outage: true,
+			},
+			first:   http.StatusServiceUnavailable,
+			code:    "store_unavailable",
+			outcome: "not run",
+			again:   http.StatusOK,
+			runs:    1,
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			key := strings.NewReplacer(" ", "-", "'", "").Replace(name)
+			plain.Misbehaviours.Set(tt.plain)
+			c.platform.Table.Faults.Set(tt.fault)
+			response, body, err := c.confirm(t.Context(), 0, key)
+			c.platform.Table.Faults.Set(standin.Fault{})
+			plain.Misbehaviours.Set(standin.Misbehaviour{})
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, tt.first, body)
+			assert.Equal(t, gjson.Get(body, "error.code").String(), tt.code)
+			assert.Equal(t, response.Header.Get(headerOutcome), tt.outcome)
+			if tt.outcome == "not run" {
+				assert.Equal(t, c.runsOf()[key], 0)
+			}
+			for vm := range 2 {
+				resent, again, err := c.confirm(t.Context(), 1-vm, key)
+				assert.NilError(t, err)
+				assert.Equal(t, resent.StatusCode, tt.again, again)
+				if tt.replayed {
+					assert.Equal(t, again, body)
+					assert.Equal(t, resent.Header.Get("Rhubarbrudder-Replayed"), "true")
+				}
+			}
+			assert.Equal(t, c.runsOf()[key], tt.runs)
+		})
+	}
+}
+
+// TestConfirmationRunsAtMostOnceWhateverFails sends every key several times over all gateways, at once and again,
+// while gateways are killed, answers of the platform are lost and the service drops answers.
+func TestConfirmationRunsAtMostOnceWhateverFails(t *testing.T) {
+	t.Parallel()
+	const keys = 150
+	const sendings = 3
+	options := defaultCluster(56)
+	options.plain = 2
+	c := newOnlineCluster(t, options)
+	c.platform.Table.Faults.Set(standin.Fault{
+		LoseAnswers: 0.2,
+		Kind:        "Call/",
+	})
+	for _, plain := range c.plains {
+		plain.Delay = 20 * time.Millisecond
+	}
+	check := newCallChecker()
+	rng := rand.New(rand.NewPCG(5, 6))
+	for i := range keys {
+		key := fmt.Sprintf("key-%d", i)
+		var group sync.WaitGroup
+		for range sendings {
+			vm := rng.IntN(options.vms)
+			group.Go(func() {
+				response, body, err := c.confirm(t.Context(), vm, key)
+				check.take(key, response, body, err)
+			})
+		}
+		if i%10 == 3 {
+			c.plains[i%2].Misbehaviours.Set(standin.Misbehaviour{
+				Kind:  standin.MisbehaviourDrop,
+				Times: 1,
+			})
+		}
+		if i%50 == 25 {
+			vm := (i / 50) % options.vms
+			c.signal(fleet.RoleGateway, vm, syscall.SIGKILL)
+			c.waitExit(fleet.RoleGateway, vm)
+			group.Wait()
+			c.start(fleet.RoleGateway, vm)
+			c.waitReady(fleet.RoleGateway, vm)
+		}
+		group.Wait()
+	}
+	c.platform.Table.Faults.Set(standin.Fault{})
+	for i := range keys {
+		key := fmt.Sprintf("key-%d", i)
+		response, body, err := c.confirm(t.Context(), i%options.vms, key)
+		check.take(key, response, body, err)
+	}
+	check.judge(t, c.runsOf(), keys)
+}
+
+// callChecker compares what callers were told with what the service recorded.
+type callChecker struct {
+	mu       sync.Mutex
+	answers  map[string]string
+	crossed  []string
+	maybeRan map[string]bool
+	codes    map[string]int
+}
+
+func newCallChecker() *callChecker {
+	return &callChecker{
+		answers:  map[string]string{},
+		maybeRan: map[string]bool{},
+		codes:    map[string]int{},
+	}
+}
+
+func (k *callChecker) take(key string, response *http.Response, body string, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.codes["connection lost"]++
+		k.maybeRan[key] = true
+		return
+	}
+	if response.Header.Get(headerOutcome) != "not run" {
+		k.maybeRan[key] = true
+	}
+	if response.StatusCode != http.StatusOK {
+		k.codes[gjson.Get(body, "error.code").String()]++
+		return
+	}
+	k.codes["answered"]++
+	earlier, known := k.answers[key]
+	if (known && earlier != body) || gjson.Get(body, "Path").String() != "/confirm/"+key {
+		k.crossed = append(k.crossed, key)
+	}
+	k.answers[key] = body
+}
+
+func (k *callChecker) judge(t *testing.T, runs map[string]int, keys int) {
+	t.Helper()
+	t.Log("told", k.codes)
+	assert.Equal(t, len(k.crossed), 0, "answers differ: %v", k.crossed)
+	for key, count := range runs {
+		assert.Equal(t, count, 1, "runs of %s", key)
+		assert.Assert(t, k.maybeRan[key], "%s ran and was always told not run", key)
+	}
+	for key := range k.answers {
+		assert.Equal(t, runs[key], 1, "%s was answered", key)
+	}
+	// Most keys are answered, or the checker would prove nothing.
+	assert.Assert(t, len(k.answers) > keys*3/4, "answered %d", len(k.answers))
+}
+
+// TestNotRunIsTrue walks the ways to be refused and looks in the records for what was said not to have run.
+func TestNotRunIsTrue(t *testing.T) {
+	t.Parallel()
+	options := defaultCluster(57)
+	options.vms = 1
+	options.organisations = map[document.OrganisationID]document.Organisation{
+		"wenber": {
+			Keys:               []document.Hash{document.HashOf("wenber-key")},
+			Weight:             1,
+			ConcurrentRequests: 1,
+			RequestsPerSecond:  1000,
+		},
+	}
+	c := newOnlineCluster(t, options)
+	chat := completions["chat whole"]
+	cases := map[string]struct {
+		path    string
+		body    string
+		header  map[string]string
+		arrange func(t *testing.T)
+		status  int
+		code    string
+		unknown bool
+	}{
+		"no key": {
+			path: chat.path(),
+			body: chat.body("no key"),
+			header: map[string]string{
+				"Authorization": "",
+			},
+			status: http.StatusUnauthorized,
+			code:   "invalid_api_key",
+		},
+		"wrong key": {
+			path: chat.path(),
+			body: chat.body("wrong key"),
+			header: map[string]string{
+				"Authorization": "Bearer wrong",
+			},
+			status: http.StatusUnauthorized,
+			code:   "invalid_api_key",
+		},
+		"no JSON": {
+			path:   chat.path(),
+			body:   "{",
+			status: http.StatusBadRequest,
+			code:   "invalid_body",
+		},
+		"unknown model": {
+			path:   chat.path(),
+			body:   strings.Replace(chat.body("unknown model"), testModel, "none", 1),
+			status: http.StatusNotFound,
+			code:   "model_not_found",
+		},
+		"body too large": {
+			path:   chat.path(),
+			body:   chat.body(strings.Repeat("x", 17<<20)),
+			status: http.StatusRequestEntityTooLarge,
+			code:   "body_too_large",
+		},
+		"unknown service": {
+			path:   "/services/none/confirm",
+			status: http.StatusNotFound,
+			code:   "service_not_found",
+		},
+		"unknown path": {
+			path:   "/v1/none",
+			status: http.StatusNotFound,
+			code:   "not_found",
+		},
+		"confirmation without key": {
+			path:   "/services/booking/confirm/1",
+			status: http.StatusBadRequest,
+			code:   "idempotency_key_required",
+		},
+		"confirmation by a detour": {
+			path:   "/services/booking/a%2F..%2Fconfirm/2",
+			status: http.StatusBadRequest,
+			code:   "invalid_path",
+		},
+		"path that names a host": {
+			path:   "/services/booking/%2F" + c.address(101, 8000) + "/confirm",
+			status: http.StatusBadRequest,
+			code:   "invalid_path",
+		},
+		"over the limit": {
+			path: "/services/booking/look",
+			header: map[string]string{
+				"Authorization": "Bearer wenber-key",
+			},
+			arrange: func(t *testing.T) { c.occupy(t, "wenber-key") },
+			status:  http.StatusTooManyRequests,
+			code:    "rate_limit_exceeded",
+		},
+		"service refuses": {
+			path: "/services/booking/look",
+			arrange: func(*testing.T) {
+				c.plains[0].Misbehaviours.Set(standin.Misbehaviour{
+					Kind:  standin.MisbehaviourRefuse,
+					Times: 1,
+				})
+			},
+			status: http.StatusServiceUnavailable,
+			code:   "no_endpoint",
+		},
+		"service breaks off": {
+			path: "/services/booking/look",
+			arrange: func(*testing.T) {
+				c.plains[0].Misbehaviours.Set(standin.Misbehaviour{
+					Kind:  standin.MisbehaviourDrop,
+					Times: 1,
+				})
+			},
+			status:  http.StatusBadGateway,
+			code:    "answer_broken",
+			unknown: true,
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			if tt.arrange != nil {
+				tt.arrange(t)
+			}
+			response, body, err := c.post(t.Context(), 0, tt.path, tt.body, tt.header)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, tt.status, body)
+			assert.Equal(t, gjson.Get(body, "error.code").String(), tt.code)
+			assert.Assert(t, gjson.Get(body, "error.message").String() != "")
+			want := "not run"
+			if tt.unknown {
+				want = "unknown"
+			}
+			assert.Equal(t, response.Header.Get(headerOutcome), want)
+			assert.Equal(t, c.ran(response.Header.Get("X-Request-Id")), tt.unknown)
+		})
+	}
+}
+
+// ran reports whether a request is in any endpoint's record.
+func (c *cluster) ran(id string) bool {
+	var runs []standin.Run
+	for _, engine := range c.engines {
+		runs = append(runs, engine.Record.Runs()...)
+	}
+	for _, plain := range c.plains {
+		runs = append(runs, plain.Record.Runs()...)
+	}
+	for _, run := range runs {
+		if run.RequestID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// occupy keeps a request of the key in flight until the test ends.
+func (c *cluster) occupy(t *testing.T, key string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	asked := completions["chat streamed"]
+	body := strings.Replace(asked.body("Occupied?"), fmt.Sprintf(`"max_tokens":%d`, wholeTokens), `"max_tokens":100000`, 1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _, _ = c.post(ctx, 0, asked.path(), body, map[string]string{
+			"Authorization": "Bearer " + key,
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	waitFor(t, "the request to run", readyTimeout, func() bool {
+		for _, engine := range c.engines {
+			for _, run := range engine.Record.Runs() {
+				if !run.Finished && run.Tokens > 0 {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
