--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -1,11 +1,9 @@
 package endpoint_test
 
 import (
-	"bufio"
-	"context"
-	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/url"
 	"sync/atomic"
 	"testing"
 
@@ -15,79 +13,72 @@
 	"rhubarbrudder/internal/request"
 )
 
-// closingServer answers the first request of each connection and closes the connection after it read a second.
-func closingServer(t *testing.T) (address string, requests *atomic.Int64) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	requests = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveOnce(conn, requests)
-		}
-	}()
-	return listener.Addr().String(), requests
-}
-
-func serveOnce(conn net.Conn, requests *atomic.Int64) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for answered := 0; ; answered++ {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		requests.Add(1)
-		if answered > 0 {
-			return
-		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-	}
-}
-
-// TestSendNeverRepeatsANonIdempotentRequest: the transport repeats a request on a connection that closed
-// under it if the request has an Idempotency-Key and no body.
-func TestSendNeverRepeatsANonIdempotentRequest(t *testing.T) {
-	cases := map[string]struct {
-		body string
-	}{
-		"empty body": {
-			body: "",
-		},
-		"body": {
-			body: `{"Beacon":17}`,
-		},
+// TestNonIdempotentRequestIsSentOnce drops the second request of a connection, which is where the transport would
+// send it again by itself.
+func TestNonIdempotentRequestIsSentOnce(t *testing.T) {
+	t.Parallel()
+	cases := map[string]string{
+		"empty body": "",
+		"with body":  "seat 4",
 	}
-	for name, tt := range cases {
+	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
-			address, requests := closingServer(t)
+			var arrived atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				if arrived.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer server.Close()
+			at, err := url.Parse(server.URL)
+			assert.NilError(t, err)
 			client := endpoint.NewClient()
-			target := endpoint.Endpoint{
-				ID:      "plain-1",
-				Address: address,
-			}
-			const sent = 4
-			for range sent {
-				answer, err := client.Send(context.Background(), target, request.Request{
-					ID:     request.NewID(),
+			send := func() error {
+				answer, err := client.Send(t.Context(), endpoint.Endpoint{
+					Address: at.Host,
+				}, request.Request{
+					ID:     "1",
 					Method: http.MethodPost,
 					Path:   "/confirm",
 					Header: http.Header{
-						"Idempotency-Key": {"beacon-17"},
+						"Idempotency-Key": []string{"key"},
 					},
-				}, []byte(tt.body))
-				if err == nil {
-					_, _ = answer.Whole()
-					answer.Close()
+				}, []byte(body))
+				if err != nil {
+					return err
 				}
+				_, err = answer.Whole()
+				answer.Close()
+				return err
 			}
-			assert.Equal(t, requests.Load(), int64(sent))
+			assert.NilError(t, send())
+			assert.ErrorIs(t, send(), endpoint.ErrBroken)
+			assert.Equal(t, arrived.Load(), int64(2))
 		})
 	}
 }
+
+// TestPathNeverChangesTheHost sends to paths that a resolver of references would take for hosts or climb out of.
+func TestPathNeverChangesTheHost(t *testing.T) {
+	t.Parallel()
+	seen := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		seen <- r.URL.EscapedPath()
+	}))
+	defer server.Close()
+	at, err := url.Parse(server.URL)
+	assert.NilError(t, err)
+	for _, path := range []string{"//127.0.0.9/confirm", "/a/../confirm", "/a%3Fb", "/a"} {
+		answer, err := endpoint.NewClient().Send(t.Context(), endpoint.Endpoint{
+			Address: at.Host,
+		}, request.Request{
+			ID:         "1",
+			Method:     http.MethodGet,
+			Path:       path,
+			Idempotent: true,
+		}, nil)
+		assert.NilError(t, err)
+		answer.Close()
+		assert.Equal(t, <-seen, path)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	router   Router
 	jobs     Jobs
 	cancel   Canceller
+	calls    Calls
 	limiter  Limiter
 	log      *slog.Logger
 }
@@ -73,6 +74,7 @@
 	Router   Router
 	Jobs     Jobs
 	Cancel   Canceller
+	Calls    Calls
 	Limiter  Limiter
 	Log      *slog.Logger
 }
@@ -85,6 +87,7 @@
 		router:   parts.Router,
 		jobs:     parts.Jobs,
 		cancel:   parts.Cancel,
+		calls:    parts.Calls,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
 	}
@@ -104,6 +107,7 @@
 	mux.HandleFunc("GET /v1/batches/{batch}", g.as(g.serveBatch))
 	mux.HandleFunc("POST /v1/batches/{batch}/cancel", g.as(g.serveCancelBatch))
 	mux.HandleFunc("/services/{service}/{path...}", g.as(g.servePlain))
+	mux.HandleFunc("/", g.as(func(*caller) error { return errUnknownPath }))
 	return mux
 }
 
@@ -112,6 +116,7 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	id           request.ID
+	ticket       *request.Ticket
 	organisation document.OrganisationID
 	view         *document.View
 }
@@ -121,10 +126,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		view, fresh := g.document.Fresh()
 		c := &caller{
-			w:    w,
-			r:    r,
-			id:   request.NewID(),
-			view: view,
+			w:      w,
+			r:      r,
+			id:     request.NewID(),
+			ticket: &request.Ticket{},
+			view:   view,
 		}
 		w.Header().Set(endpoint.HeaderRequestID, string(c.id))
 		if !fresh {
