Grant idle slots by what the engines can't explain, and cache who is steward

Cause: a steward believed only the reports it got, so a new one, a second one, or one whose reports were lost filled slots that online requests used; every report woke every waiting item; ownership was hashed over all members for each endpoint and grant; a retry could wait for ever for an endpoint that the dispatcher does not own.

An account per endpoint keeps what was accounted for over time and compares the engine's lagging load with what was accounted for when it was measured; the rest counts as online. Reports carry a sequence; the reply tells gateways what the fleet has at the endpoint. Waiters queue and are granted in order. Ownership is worked out once per change of members or endpoints and stops at the first member with a higher weight. A steward that lost an endpoint ends its grants there. FloorShare is owed as slot time and granted one at a time, beside online requests, never ahead of them.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -19,6 +19,8 @@
 	mu      sync.RWMutex
 	version atomic.Uint64
 	serving map[document.ServiceName][]Endpoint
+	byID    map[ID]Endpoint
+	rings   map[document.ServiceName]ring
 	leaving map[ID]time.Time
 	listed  []platform.VM
 	onLeave []func([]ID)
@@ -150,9 +152,36 @@
 		return
 	}
 	d.serving = serving
+	d.byID = map[ID]Endpoint{}
+	d.rings = map[document.ServiceName]ring{}
+	for service, endpoints := range serving {
+		d.rings[service] = newRing(endpoints)
+		for _, served := range endpoints {
+			d.byID[served.ID] = served
+		}
+	}
 	d.version.Add(1)
 }
 
+// Find returns an endpoint that takes new work, and whether there is one with the id.
+func (d *Directory) Find(id ID) (Endpoint, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	found, ok := d.byID[id]
+	return found, ok
+}
+
+// At returns the endpoint of a service that a hash belongs to; few hashes change hands when endpoints come and go.
+func (d *Directory) At(service document.ServiceName, hash uint64) (Endpoint, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	at, ok := d.rings[service].at(hash)
+	if !ok {
+		return Endpoint{}, false
+	}
+	return d.serving[service][at], true
+}
+
 // Serving returns the endpoints of a service that take new work, in order of their ids. The caller must not change it.
 func (d *Directory) Serving(service document.ServiceName) []Endpoint {
 	d.mu.RLock()
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -23,14 +23,6 @@
 	ChecksFence   bool
 }
 
-// Load is what an endpoint reports of itself; it lags.
-type Load struct {
-	Running         int
-	Waiting         int
-	Slots           int
-	AgeMilliseconds int64
-}
-
 const (
 	// HeaderRequestID carries the request's id to the endpoint and back.
 	HeaderRequestID = "X-Request-Id"
--- /dev/null
+++ b/internal/endpoint/load.go
@@ -0,0 +1,39 @@
+package endpoint
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/dghubble/sling"
+)
+
+// Load is what an endpoint reports of itself; it lags.
+type Load struct {
+	Running         int
+	Waiting         int
+	Slots           int
+	AgeMilliseconds int64
+}
+
+// FleetLoad is what the whole fleet has in flight at an endpoint, as its steward knows it.
+type FleetLoad struct {
+	Online int
+	Batch  int
+}
+
+// Load asks an engine for its load.
+func (c *Client) Load(ctx context.Context, target Endpoint) (Load, error) {
+	req, err := sling.New().Base("http://" + target.Address).Get("/load").Request()
+	if err != nil {
+		return Load{}, err
+	}
+	var load Load
+	response, err := sling.New().Client(c.http).Do(req.WithContext(ctx), &load, nil)
+	if err != nil {
+		return Load{}, sendError(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return Load{}, ErrBroken
+	}
+	return load, nil
+}
--- /dev/null
+++ b/internal/endpoint/subset.go
@@ -0,0 +1,62 @@
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/platform"
+)
+
+// subsetSize is how many endpoints of a service a gateway sends to where there are more.
+const subsetSize = 64
+
+// subset returns the endpoints that a gateway sends to: those of its region if there are any, and of these,
+// if there are many, a range on the circle of their hashes. The ranges of all gateways of a region start at
+// even distances, so that each endpoint is in as many subsets as any other, give or take one.
+func subset(endpoints []Endpoint, gateways []fleet.Member, self fleet.Member) []Endpoint {
+	local := inRegion(endpoints, self.Region)
+	if len(local) <= subsetSize {
+		return local
+	}
+	circle := slices.Clone(local)
+	slices.SortFunc(circle, func(a, b Endpoint) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
+	})
+	rank, count := rankOf(gateways, self)
+	chosen := make([]Endpoint, 0, subsetSize)
+	start := rank * len(circle) / count
+	for i := range subsetSize {
+		chosen = append(chosen, circle[(start+i)%len(circle)])
+	}
+	return chosen
+}
+
+func inRegion(endpoints []Endpoint, region platform.Region) []Endpoint {
+	var local []Endpoint
+	for _, candidate := range endpoints {
+		if candidate.Region == region {
+			local = append(local, candidate)
+		}
+	}
+	if len(local) == 0 {
+		return endpoints
+	}
+	return local
+}
+
+// rankOf returns a gateway's place among those of its region in order of their ids, and their number.
+func rankOf(gateways []fleet.Member, self fleet.Member) (rank, count int) {
+	for _, gateway := range gateways {
+		if gateway.Region != self.Region {
+			continue
+		}
+		count++
+		if gateway.ID() < self.ID() {
+			rank++
+		}
+	}
+	return rank, max(1, count)
+}
--- a/internal/endpoint/tracker.go
+++ b/internal/endpoint/tracker.go
@@ -1,92 +1,142 @@
 package endpoint
 
 import (
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbrudder/internal/request"
 )
 
-// Tracker counts a process's own requests in flight at each endpoint and notes endpoints that fail.
+// Tracker counts a process's own requests in flight at each endpoint, knows what the fleet has there,
+// and notes endpoints that fail.
 type Tracker struct {
-	mu     sync.Mutex
-	states map[ID]*trackState
+	states sync.Map
+	// start is what times are measured from.
+	start time.Time
 }
 
-type trackState struct {
-	online   int
-	batch    int
-	failures int
-	bad      time.Time
+// state is what is known of one endpoint; times are nanoseconds since the tracker's start.
+type state struct {
+	online   atomic.Int64
+	batch    atomic.Int64
+	peers    atomic.Int64
+	peerWork atomic.Int64
+	heard    atomic.Int64
+	failures atomic.Int64
+	ejected  atomic.Int64
+	probing  atomic.Bool
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		states: map[ID]*trackState{},
+		start: time.Now(),
 	}
 }
 
-func (t *Tracker) state(id ID) *trackState {
-	state := t.states[id]
-	if state == nil {
-		state = &trackState{}
-		t.states[id] = state
+func (t *Tracker) state(id ID) *state {
+	if found, ok := t.states.Load(id); ok {
+		return found.(*state)
 	}
-	return state
+	found, _ := t.states.LoadOrStore(id, &state{})
+	return found.(*state)
 }
 
-// Start counts a request in and returns a function that counts it out.
-func (t *Tracker) Start(id ID, class request.Class) func() {
-	t.add(id, class, 1)
-	return sync.OnceFunc(func() {
-		t.add(id, class, -1)
-	})
+func (t *Tracker) now() int64 {
+	return int64(time.Since(t.start))
 }
 
-func (t *Tracker) add(id ID, class request.Class, n int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// Start counts a request in and returns a function that counts it out.
+func (t *Tracker) Start(id ID, class request.Class) func() {
+	s := t.state(id)
+	counter := &s.online
 	if class == request.ClassBatch {
-		t.state(id).batch += n
-		return
+		counter = &s.batch
 	}
-	t.state(id).online += n
+	counter.Add(1)
+	return sync.OnceFunc(func() {
+		counter.Add(-1)
+	})
 }
 
 // InFlight returns the process's own requests at an endpoint.
 func (t *Tracker) InFlight(id ID) (online, batch int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	state := t.state(id)
-	return state.online, state.batch
+	s := t.state(id)
+	return int(s.online.Load()), int(s.batch.Load())
+}
+
+// HearFleet takes in what the fleet had at an endpoint when this process had the given number there.
+func (t *Tracker) HearFleet(id ID, own int, load FleetLoad) {
+	s := t.state(id)
+	s.peers.Store(int64(max(0, load.Online-own)))
+	s.peerWork.Store(int64(load.Batch))
+	s.heard.Store(t.now())
 }
 
 const (
 	firstEjection = 500 * time.Millisecond
 	mostEjection  = 30 * time.Second
+	// ejectionJitter is the share by which ejections differ, so that gateways don't come back together.
+	ejectionJitter = 0.5
+	// returnRamp is how long an endpoint takes to get its full share after an ejection.
+	returnRamp = 5 * time.Second
+	// fleetKept is how long what the fleet has at an endpoint is believed.
+	fleetKept = 2 * time.Second
 )
 
 // Failed notes a failure; an endpoint that fails again and again is left out for longer.
 func (t *Tracker) Failed(id ID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	state := t.state(id)
-	ejection := min(mostEjection, firstEjection<<min(state.failures, 6))
-	state.failures++
-	state.bad = time.Now().Add(ejection)
+	s := t.state(id)
+	failures := s.failures.Add(1)
+	ejection := float64(min(mostEjection, firstEjection<<min(failures-1, 6)))
+	ejection *= 1 + ejectionJitter*rand.Float64()
+	s.probing.Store(true)
+	s.ejected.Store(t.now() + int64(ejection))
 }
 
 // Succeeded notes a success.
 func (t *Tracker) Succeeded(id ID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.state(id).failures = 0
+	s := t.state(id)
+	s.failures.Store(0)
+	s.probing.Store(false)
 }
 
 // Ejected reports whether an endpoint is left out for now.
 func (t *Tracker) Ejected(id ID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.state(id).bad.After(time.Now())
+	return t.state(id).share(t.now()) == 0
+}
+
+// share returns how much of its usual share an endpoint gets: none while it is ejected or while the one request
+// that tries it after that is under way, and then more and more.
+func (s *state) share(now int64) float64 {
+	ejected := s.ejected.Load()
+	if ejected == 0 {
+		return 1
+	}
+	since := now - ejected
+	if since < 0 || s.probing.Load() && s.online.Load() > 0 {
+		return 0
+	}
+	return min(1, max(leastShare, float64(since)/float64(returnRamp)))
+}
+
+// leastShare is the share of an endpoint right after an ejection.
+const leastShare = 0.05
+
+const (
+	// batchCost is how much a batch request, which yields, counts against an endpoint beside an online one.
+	batchCost = 0.25
+	// foreignCost is how much another failure domain counts.
+	foreignCost = 0.5
+)
+
+// cost estimates the work at an endpoint, in online requests.
+func (s *state) cost(now int64) float64 {
+	cost := float64(s.online.Load()) + batchCost*float64(s.batch.Load())
+	if heard := s.heard.Load(); heard != 0 && now-heard < int64(fleetKept) {
+		cost += float64(s.peers.Load()) + batchCost*float64(s.peerWork.Load())
+	}
+	return cost
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,8 @@
 	alive  map[string]heartbeat
 	leave  map[string]bool
 	onList []func([]platform.VM)
+	// version grows with each change of the members alive.
+	version atomic.Uint64
 }
 
 type heartbeat struct {
@@ -180,11 +183,17 @@
 func (f *Fleet) heard(beat Beat) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if _, known := f.alive[beat.From.ID()]; !known {
+		f.version.Add(1)
+	}
 	f.alive[beat.From.ID()] = heartbeat{
 		member: beat.From,
 		heard:  time.Now(),
 	}
 	for _, id := range beat.Leaving {
+		if !f.leave[id] {
+			f.version.Add(1)
+		}
 		f.leave[id] = true
 	}
 }
@@ -196,6 +205,7 @@
 		if time.Since(beat.heard) > after {
 			f.log.Info("member lost", "member", id)
 			delete(f.alive, id)
+			f.version.Add(1)
 		}
 	}
 }
@@ -205,6 +215,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leave[f.self.ID()] = true
+	f.version.Add(1)
 }
 
 // Listed returns every process that the VM list lets expect.
@@ -230,6 +241,11 @@
 	return members
 }
 
+// Version grows whenever what Alive returns changes.
+func (f *Fleet) Version() uint64 {
+	return f.version.Load()
+}
+
 // Alive returns the processes of a role that were heard lately and do not leave, this one among them, in order of their ids.
 func (f *Fleet) Alive(role Role) []Member {
 	f.mu.RLock()
--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -29,7 +29,8 @@
 	if err != nil {
 		return err
 	}
-	stewards := steward.New(b.directory, b.fleet, b.follower)
+	sender := endpoint.NewClient()
+	stewards := steward.New(b.directory, b.fleet, b.follower, sender, b.notes)
 	b.directory.OnLeave(stewards.Leave)
 	if err := b.server.Register("Steward", steward.NewService(stewards)); err != nil {
 		return err
@@ -39,7 +40,7 @@
 		Store:    b.jobs,
 		Sessions: sessions,
 		Capacity: stewards,
-		Sender:   endpoint.NewClient(),
+		Sender:   sender,
 		Document: b.follower,
 		Notes:    b.notes,
 		Log:      b.log,
@@ -49,6 +50,7 @@
 	if err := b.common(ctx, group, at); err != nil {
 		return err
 	}
+	add(group, stewards.Run)
 	add(group, func(ctx context.Context) error {
 		return runWithSession(ctx, sessions, worker)
 	})
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -27,8 +27,8 @@
 		return err
 	}
 	tracker := endpoint.NewTracker()
-	reporter := steward.NewReporter(tracker, b.fleet, b.peers)
-	picker := endpoint.NewPicker(b.directory, tracker, s.VM.FailureDomain)
+	reporter := steward.NewReporter(tracker, b.directory, b.fleet, b.peers)
+	picker := endpoint.NewPicker(b.directory, tracker, b.fleet)
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
--- /dev/null
+++ b/internal/steward/ownership.go
@@ -0,0 +1,136 @@
+package steward
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/fleet"
+)
+
+// Members lists the processes alive; Version grows whenever they change.
+type Members interface {
+	Self() fleet.Member
+	Alive(role fleet.Role) []fleet.Member
+	Version() uint64
+}
+
+// Directory lists the endpoints that take new work; Version grows whenever they change.
+type Directory interface {
+	Serving(service document.ServiceName) []endpoint.Endpoint
+	Find(id endpoint.ID) (endpoint.Endpoint, bool)
+	At(service document.ServiceName, hash uint64) (endpoint.Endpoint, bool)
+	Version() uint64
+}
+
+// ownership answers who is the steward of an endpoint, and works that out once per change of members or endpoints.
+type ownership struct {
+	directory  Directory
+	members    Members
+	mu         sync.Mutex
+	fresh      bool
+	endpoints  uint64
+	processes  uint64
+	candidates []candidate
+	owned      map[document.ServiceName][]endpoint.Endpoint
+	owners     map[endpoint.ID]string
+}
+
+type candidate struct {
+	id      string
+	address string
+}
+
+func newOwnership(directory Directory, members Members) *ownership {
+	return &ownership{
+		directory: directory,
+		members:   members,
+	}
+}
+
+// refresh forgets what was worked out before the latest change.
+func (o *ownership) refresh() {
+	endpoints, processes := o.directory.Version(), o.members.Version()
+	if o.fresh && endpoints == o.endpoints && processes == o.processes {
+		return
+	}
+	if !o.fresh || processes != o.processes {
+		o.candidates = o.candidates[:0]
+		for _, member := range o.members.Alive(fleet.RoleDispatcher) {
+			o.candidates = append(o.candidates, candidate{
+				id:      member.ID(),
+				address: member.Address,
+			})
+		}
+	}
+	o.fresh, o.endpoints, o.processes = true, endpoints, processes
+	o.owned = map[document.ServiceName][]endpoint.Endpoint{}
+	o.owners = map[endpoint.ID]string{}
+}
+
+// weight is the rendezvous weight of a member for a name, the same as in fleet.Owner.
+func weight(member, name string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(member)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
+}
+
+// ownedOf returns the endpoints of a service that this process is the steward of.
+func (o *ownership) ownedOf(service document.ServiceName) []endpoint.Endpoint {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refresh()
+	owned, known := o.owned[service]
+	if known {
+		return owned
+	}
+	self := o.members.Self().ID()
+	for _, served := range o.directory.Serving(service) {
+		if o.wins(self, string(served.ID)) {
+			owned = append(owned, served)
+		}
+	}
+	o.owned[service] = owned
+	return owned
+}
+
+// wins reports whether no other candidate has a higher weight for the name; it stops at the first that has.
+func (o *ownership) wins(self, name string) bool {
+	own := weight(self, name)
+	listed := false
+	for _, other := range o.candidates {
+		if other.id == self {
+			listed = true
+			continue
+		}
+		if weight(other.id, name) > own {
+			return false
+		}
+	}
+	return listed
+}
+
+// ownerOf returns the address of an endpoint's steward, and whether there is one.
+func (o *ownership) ownerOf(id endpoint.ID) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refresh()
+	if address, known := o.owners[id]; known {
+		return address, address != ""
+	}
+	var owner string
+	var highest uint64
+	for _, candidate := range o.candidates {
+		found := weight(candidate.id, string(id))
+		if owner == "" || found > highest {
+			owner, highest = candidate.address, found
+		}
+	}
+	o.owners[id] = owner
+	return owner, owner != ""
+}
--- a/internal/steward/reporter.go
+++ b/internal/steward/reporter.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbrudder/internal/endpoint"
-	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/request"
 )
 
@@ -22,27 +21,33 @@
 	Failed(id endpoint.ID)
 	Succeeded(id endpoint.ID)
 	InFlight(id endpoint.ID) (online, batch int)
+	// HearFleet takes in what the fleet had at an endpoint when this process reported a count of its own.
+	HearFleet(id endpoint.ID, own int, load endpoint.FleetLoad)
 }
 
 // Reporter is a tracker that tells stewards what its gateway has in flight.
 type Reporter struct {
 	Tracker
-	members Members
-	caller  Caller
-	mu      sync.Mutex
-	dirty   map[endpoint.ID]bool
-	known   map[endpoint.ID]bool
-	wake    chan struct{}
+	owners   *ownership
+	caller   Caller
+	from     string
+	sequence atomic.Uint64
+	sent     atomic.Uint64
+	mu       sync.Mutex
+	dirty    map[endpoint.ID]bool
+	busy     map[endpoint.ID]bool
+	wake     chan struct{}
 }
 
 // NewReporter returns a reporter on the tracker.
-func NewReporter(tracker Tracker, members Members, caller Caller) *Reporter {
+func NewReporter(tracker Tracker, directory Directory, members Members, caller Caller) *Reporter {
 	return &Reporter{
 		Tracker: tracker,
-		members: members,
+		owners:  newOwnership(directory, members),
 		caller:  caller,
+		from:    members.Self().ID(),
 		dirty:   map[endpoint.ID]bool{},
-		known:   map[endpoint.ID]bool{},
+		busy:    map[endpoint.ID]bool{},
 		wake:    make(chan struct{}, 1),
 	}
 }
@@ -60,7 +65,6 @@
 func (r *Reporter) mark(id endpoint.ID) {
 	r.mu.Lock()
 	r.dirty[id] = true
-	r.known[id] = true
 	r.mu.Unlock()
 	select {
 	case r.wake <- struct{}{}:
@@ -69,15 +73,15 @@
 }
 
 const (
-	// coalesce is how long changes are gathered before a report.
+	// coalesce is how long changes are gathered after a report.
 	coalesce = 10 * time.Millisecond
-	// repeat is how often an unchanged count is reported again.
+	// repeat is how often a count that is not zero is reported again.
 	repeat = 500 * time.Millisecond
 	// reportTimeout bounds one report.
 	reportTimeout = 500 * time.Millisecond
 )
 
-// Run reports until ctx ends.
+// Run reports until ctx ends: the first change at once, further ones after a pause.
 func (r *Reporter) Run(ctx context.Context) error {
 	ticker := time.NewTicker(repeat)
 	defer ticker.Stop()
@@ -86,7 +90,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			r.markAll()
+			r.markBusy()
 		case <-r.wake:
 		}
 		r.report(ctx)
@@ -100,43 +104,67 @@
 	}
 }
 
-func (r *Reporter) markAll() {
+func (r *Reporter) markBusy() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.Copy(r.dirty, r.known)
+	for id := range r.busy {
+		r.dirty[id] = true
+	}
 }
 
 // report sends each dispatcher the counts of the endpoints that it is the steward of.
 func (r *Reporter) report(ctx context.Context) {
+	for address, report := range r.reports() {
+		go r.send(ctx, address, report)
+	}
+}
+
+func (r *Reporter) reports() map[string]Report {
 	r.mu.Lock()
-	dirty := r.dirty
-	r.dirty = map[endpoint.ID]bool{}
-	r.mu.Unlock()
-	dispatchers := r.members.Alive(fleet.RoleDispatcher)
+	defer r.mu.Unlock()
 	reports := map[string]Report{}
-	for id := range dirty {
-		owner, ok := fleet.Owner(dispatchers, string(id))
+	sequence := r.sequence.Add(1)
+	for id := range r.dirty {
+		online, _ := r.InFlight(id)
+		if online > 0 {
+			r.busy[id] = true
+		} else {
+			delete(r.busy, id)
+		}
+		owner, ok := r.owners.ownerOf(id)
 		if !ok {
 			continue
 		}
-		report, known := reports[owner.Address]
+		report, known := reports[owner]
 		if !known {
 			report = Report{
-				From:   r.members.Self().ID(),
-				Online: map[endpoint.ID]int{},
+				From:     r.from,
+				Sequence: sequence,
+				Online:   map[endpoint.ID]int{},
 			}
 		}
-		report.Online[id], _ = r.InFlight(id)
-		reports[owner.Address] = report
-	}
-	for address, report := range reports {
-		go r.send(ctx, address, report)
+		report.Online[id] = online
+		reports[owner] = report
 	}
+	clear(r.dirty)
+	return reports
 }
 
 func (r *Reporter) send(ctx context.Context, address string, report Report) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	// A lost report is made good by the next.
-	_ = r.caller.Call(ctx, address, MethodReport, report, &struct{}{})
+	r.sent.Add(1)
+	var reply ReportReply
+	if err := r.caller.Call(ctx, address, MethodReport, report, &reply); err != nil {
+		// A lost report is made good by the next; a lost zero runs out at the steward.
+		return
+	}
+	for id, load := range reply.Fleet {
+		r.HearFleet(id, report.Online[id], load)
+	}
+}
+
+// Sent returns how many reports were sent.
+func (r *Reporter) Sent() uint64 {
+	return r.sent.Load()
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -1,12 +1,12 @@
 // Package steward grants batch work the slots of endpoints that online requests leave idle.
 //
 // Each endpoint has one steward, chosen by rendezvous hashing over the dispatchers alive. Two stewards at once
-// are harmless: each keeps the reserve free, and online requests make both yield.
+// are harmless: each sees the other's work in the engine's load, keeps the reserve free, and yields to online requests.
 package steward
 
 import (
 	"context"
-	"slices"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,53 +14,43 @@
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
-	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/explain"
 )
 
-// Directory lists the endpoints that take new work.
-type Directory interface {
-	Serving(service document.ServiceName) []endpoint.Endpoint
-}
-
-// Members lists the processes alive.
-type Members interface {
-	Self() fleet.Member
-	Alive(role fleet.Role) []fleet.Member
-}
-
 // Document is the view in force.
 type Document interface {
 	View() *document.View
 }
 
+// Loads asks an endpoint for its load.
+type Loads interface {
+	Load(ctx context.Context, target endpoint.Endpoint) (endpoint.Load, error)
+}
+
 // Steward grants slots of the endpoints that this process is the steward of.
 type Steward struct {
 	directory Directory
-	members   Members
 	document  Document
+	loads     Loads
+	notes     *explain.Recorder
+	owners    *ownership
 	mu        sync.Mutex
-	slots     map[endpoint.ID]*slots
-	changed   chan struct{}
-}
-
-type slots struct {
-	online map[string]onlineCount
-	grants []*Grant
-}
-
-type onlineCount struct {
-	count int
-	heard time.Time
+	accounts  map[endpoint.ID]*account
+	waiting   map[document.ServiceName][]*waiter
+	unowned   map[document.ServiceName]time.Time
 }
 
-// New returns a steward.
-func New(directory Directory, members Members, doc Document) *Steward {
+// New returns a steward; notes may be nil.
+func New(directory Directory, members Members, doc Document, loads Loads, notes *explain.Recorder) *Steward {
 	return &Steward{
 		directory: directory,
-		members:   members,
 		document:  doc,
-		slots:     map[endpoint.ID]*slots{},
-		changed:   make(chan struct{}),
+		loads:     loads,
+		notes:     notes,
+		owners:    newOwnership(directory, members),
+		accounts:  map[endpoint.ID]*account{},
+		waiting:   map[document.ServiceName][]*waiter{},
+		unowned:   map[document.ServiceName]time.Time{},
 	}
 }
 
@@ -70,6 +60,7 @@
 	steward  *Steward
 	ctx      context.Context
 	cancel   context.CancelFunc
+	floor    bool
 }
 
 // Context ends when the slot is needed for an online request.
@@ -83,173 +74,165 @@
 	g.steward.release(g)
 }
 
-// waitPeriod is how often a waiting Acquire looks again without having been woken.
-const waitPeriod = 50 * time.Millisecond
-
-// ownerPatience is how long Acquire waits for an endpoint of the service to become this process's.
-const ownerPatience = time.Second
+// waiter is an Acquire that waits for a slot; it is sent nil if other processes own all endpoints.
+type waiter struct {
+	ctx     context.Context
+	avoid   map[endpoint.ID]bool
+	granted chan *Grant
+}
 
 // Acquire waits for an idle slot of the service, if it can be at an endpoint that is not in avoid.
 // ErrNotOwner means that other processes are the stewards of all the service's endpoints.
 func (s *Steward) Acquire(ctx context.Context, service document.ServiceName, avoid map[endpoint.ID]bool) (*Grant, error) {
-	owner := time.Now()
-	for {
-		grant, changed := s.try(ctx, service, avoid)
-		if grant != nil {
-			return grant, nil
-		}
-		if len(s.owned(service)) > 0 {
-			owner = time.Now()
-		}
-		if time.Since(owner) > ownerPatience {
+	w := &waiter{
+		ctx:     ctx,
+		avoid:   maps.Clone(avoid),
+		granted: make(chan *Grant, 1),
+	}
+	s.mu.Lock()
+	s.waiting[service] = append(s.waiting[service], w)
+	s.fill(service, time.Now())
+	s.mu.Unlock()
+	select {
+	case grant := <-w.granted:
+		if grant == nil {
 			return nil, ErrNotOwner
 		}
-		timer := time.NewTimer(waitPeriod)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, ctx.Err()
-		case <-changed:
-			timer.Stop()
-		case <-timer.C:
-		}
+		return grant, nil
+	case <-ctx.Done():
+		s.abandon(service, w)
+		return nil, ctx.Err()
 	}
 }
 
-func (s *Steward) try(ctx context.Context, service document.ServiceName, avoid map[endpoint.ID]bool) (*Grant, <-chan struct{}) {
-	settings, ok := s.document.View().Services[service]
-	if !ok {
-		return nil, s.wait()
-	}
-	owned := s.owned(service)
+// abandon takes a waiter out; a slot that it was granted meanwhile is given back.
+func (s *Steward) abandon(service document.ServiceName, w *waiter) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !slices.ContainsFunc(owned, func(candidate endpoint.Endpoint) bool { return !avoid[candidate.ID] }) {
-		avoid = nil
-	}
-	var best endpoint.Endpoint
-	most := 0
-	for _, candidate := range owned {
-		free := settings.Slots - settings.ReserveSlots - s.used(candidate.ID)
-		if free > most && !avoid[candidate.ID] {
-			best, most = candidate, free
+	s.remove(service, w)
+	s.mu.Unlock()
+	select {
+	case grant := <-w.granted:
+		if grant != nil {
+			grant.Release()
 		}
+	default:
 	}
-	if most == 0 {
-		return nil, s.changed
-	}
-	return s.grant(ctx, best), nil
 }
 
-func (s *Steward) wait() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
-
-func (s *Steward) owned(service document.ServiceName) []endpoint.Endpoint {
-	dispatchers := s.members.Alive(fleet.RoleDispatcher)
-	self := s.members.Self().ID()
-	var owned []endpoint.Endpoint
-	for _, candidate := range s.directory.Serving(service) {
-		owner, ok := fleet.Owner(dispatchers, string(candidate.ID))
-		if ok && owner.ID() == self {
-			owned = append(owned, candidate)
+func (s *Steward) remove(service document.ServiceName, w *waiter) {
+	queue := s.waiting[service]
+	for i, waiting := range queue {
+		if waiting == w {
+			s.waiting[service] = append(queue[:i], queue[i+1:]...)
+			return
 		}
 	}
-	return owned
 }
 
 // Prefers reports whether the work of the name, for the service, is best done by this process:
 // a name belongs to an endpoint, and so to that endpoint's steward, which alone can grant its slots.
 func (s *Steward) Prefers(service document.ServiceName, name string) bool {
-	var best endpoint.ID
-	var highest uint64
-	for _, candidate := range s.directory.Serving(service) {
-		weight := xxhash.Sum64String(string(candidate.ID) + "\x00" + name)
-		if best == "" || weight > highest {
-			best, highest = candidate.ID, weight
-		}
+	best, ok := s.directory.At(service, xxhash.Sum64String(name))
+	if !ok {
+		return false
 	}
-	owner, ok := fleet.Owner(s.members.Alive(fleet.RoleDispatcher), string(best))
-	return ok && owner.ID() == s.members.Self().ID()
+	owner, ok := s.owners.ownerOf(best.ID)
+	return ok && owner == s.owners.members.Self().Address
 }
 
-func (s *Steward) of(id endpoint.ID) *slots {
-	found := s.slots[id]
+func (s *Steward) account(id endpoint.ID, now time.Time) *account {
+	found := s.accounts[id]
 	if found == nil {
-		found = &slots{
-			online: map[string]onlineCount{},
-		}
-		s.slots[id] = found
+		found = newAccount(now)
+		s.accounts[id] = found
 	}
 	return found
 }
 
-// onlineKept is how long a gateway's count is believed without a new report.
-const onlineKept = 2 * time.Second
+// limit returns how many requests an endpoint may have before batch work yields.
+func limit(service document.Service) int {
+	return service.Slots - service.ReserveSlots
+}
 
-func (s *Steward) used(id endpoint.ID) int {
-	found := s.of(id)
-	used := len(found.grants)
-	for _, online := range found.online {
-		if time.Since(online.heard) < onlineKept {
-			used += online.count
+// fill grants free slots of a service to those who wait, in their order.
+func (s *Steward) fill(service document.ServiceName, now time.Time) {
+	settings, ok := s.document.View().Services[service]
+	if !ok || len(s.waiting[service]) == 0 {
+		return
+	}
+	owned := s.owners.ownedOf(service)
+	for i := 0; i < len(s.waiting[service]); {
+		w := s.waiting[service][i]
+		best, floor, ok := s.idlest(owned, w.avoids(owned), settings, now)
+		if ok {
+			s.remove(service, w)
+			s.grant(w, best, floor, now)
+			continue
+		}
+		if len(w.avoid) == 0 {
+			return
 		}
+		i++
 	}
-	return used
 }
 
-func (s *Steward) grant(ctx context.Context, target endpoint.Endpoint) *Grant {
-	grant := &Grant{
-		Endpoint: target,
-		steward:  s,
+// avoids returns what the waiter avoids, which is nothing if it would have no endpoint left.
+func (w *waiter) avoids(owned []endpoint.Endpoint) map[endpoint.ID]bool {
+	for _, candidate := range owned {
+		if !w.avoid[candidate.ID] {
+			return w.avoid
+		}
 	}
-	grant.ctx, grant.cancel = context.WithCancel(ctx)
-	found := s.of(target.ID)
-	found.grants = append(found.grants, grant)
-	return grant
+	return nil
 }
 
-func (s *Steward) release(grant *Grant) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	found := s.of(grant.Endpoint.ID)
-	for i, held := range found.grants {
-		if held == grant {
-			found.grants = append(found.grants[:i], found.grants[i+1:]...)
-			break
+// idlest returns the endpoint with the most free slots, or one at which a floor grant is owed.
+func (s *Steward) idlest(owned []endpoint.Endpoint, avoid map[endpoint.ID]bool, settings document.Service, now time.Time) (best endpoint.Endpoint, floor, ok bool) {
+	most := 0
+	for _, candidate := range owned {
+		a := s.account(candidate.ID, now)
+		if avoid[candidate.ID] || !a.open(now) {
+			continue
+		}
+		if free := limit(settings) - a.used(now); free > most {
+			best, most, floor = candidate, free, false
+		}
+		if most == 0 && s.floorDue(a, settings, now) {
+			best, floor = candidate, true
 		}
 	}
-	s.wake()
+	return best, floor, most > 0 || floor
 }
 
-func (s *Steward) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+// floorDue settles what batch is owed at an endpoint and reports whether a floor grant is due.
+func (s *Steward) floorDue(a *account, settings document.Service, now time.Time) bool {
+	a.floor.settle(now, s.document.View().Policy.FloorShare*float64(settings.Slots), len(a.grants))
+	return len(a.grants) == 0 && a.floor.due()
 }
 
-// Report tells a steward how many online requests a gateway has at endpoints.
-type Report struct {
-	From   string
-	Online map[endpoint.ID]int
+func (s *Steward) grant(w *waiter, target endpoint.Endpoint, floor bool, now time.Time) {
+	grant := &Grant{
+		Endpoint: target,
+		steward:  s,
+		floor:    floor,
+	}
+	grant.ctx, grant.cancel = context.WithCancel(w.ctx)
+	a := s.account(target.ID, now)
+	a.grants = append(a.grants, grant)
+	a.note(now)
+	w.granted <- grant
 }
 
-// MethodReport is the name of the method that takes reports.
-const MethodReport = "Steward.Report"
-
-// Take takes a report in and yields the youngest grants of endpoints that have too few free slots.
-func (s *Steward) Take(report Report) {
+func (s *Steward) release(grant *Grant) {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, count := range report.Online {
-		s.of(id).online[report.From] = onlineCount{
-			count: count,
-			heard: time.Now(),
-		}
-		s.yield(id)
+	a := s.account(grant.Endpoint.ID, now)
+	if !a.release(grant) {
+		return
 	}
-	s.wake()
+	a.note(now)
+	s.fill(grant.Endpoint.Service, now)
 }
 
 // Leave ends every grant at endpoints that are leaving.
@@ -257,50 +240,40 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range ids {
-		for _, grant := range s.of(id).grants {
-			grant.cancel()
+		if a := s.accounts[id]; a != nil {
+			s.cancel(id, a, len(a.grants), "endpoint leaves")
 		}
 	}
-	s.wake()
-}
-
-// yield cancels the youngest grants that stand in the way of online requests.
-func (s *Steward) yield(id endpoint.ID) {
-	limit := s.limit(id)
-	found := s.of(id)
-	excess := s.used(id) - limit
-	for i := len(found.grants) - 1; i >= 0 && excess > 0; i-- {
-		found.grants[i].cancel()
-		excess--
-	}
 }
 
-func (s *Steward) limit(id endpoint.ID) int {
-	view := s.document.View()
-	for name, service := range view.Services {
-		for _, candidate := range s.directory.Serving(name) {
-			if candidate.ID == id {
-				return service.Slots - service.ReserveSlots
-			}
+// cancel ends the youngest grants of an account.
+func (s *Steward) cancel(id endpoint.ID, a *account, n int, why string) {
+	ended := 0
+	for i := len(a.grants) - 1; i >= 0 && n > 0; i-- {
+		grant := a.grants[i]
+		if grant.floor && !a.floor.spent() && why == yieldReason {
+			continue
 		}
+		if grant.ctx.Err() == nil {
+			grant.cancel()
+			ended++
+		}
+		n--
+	}
+	if ended > 0 {
+		s.notes.Note(explain.Subject(id), "batch stopped: "+why)
 	}
-	return 0
 }
 
-// Service takes reports over net/rpc; it is registered as "Steward".
-type Service struct {
-	steward *Steward
-}
+const yieldReason = "slots needed for online requests"
 
-// NewService returns the service of a steward.
-func NewService(steward *Steward) *Service {
-	return &Service{
-		steward: steward,
+// yield ends the youngest grants that stand in the way of online requests.
+func (s *Steward) yield(id endpoint.ID, a *account, now time.Time) {
+	target, ok := s.directory.Find(id)
+	if !ok {
+		return
 	}
-}
-
-// Report takes a gateway's report.
-func (s *Service) Report(args Report, _ *struct{}) error {
-	s.steward.Take(args)
-	return nil
+	settings := s.document.View().Services[target.Service]
+	a.floor.settle(now, s.document.View().Policy.FloorShare*float64(settings.Slots), len(a.grants))
+	s.cancel(id, a, a.used(now)-limit(settings), yieldReason)
 }
--- /dev/null
+++ b/internal/steward/steward_test.go
@@ -0,0 +1,367 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/platform"
+)
+
+// TestMain fixes the seed of the properties.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+const testService document.ServiceName = "beacon-assist"
+
+// fixedMembers are members that a test changes.
+type fixedMembers struct {
+	self    fleet.Member
+	mu      sync.Mutex
+	alive   []fleet.Member
+	version uint64
+}
+
+func (m *fixedMembers) Self() fleet.Member { return m.self }
+
+func (m *fixedMembers) Alive(fleet.Role) []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.alive
+}
+
+func (m *fixedMembers) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
+func (m *fixedMembers) set(alive ...fleet.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.alive = alive
+	m.version++
+}
+
+func member(i int) fleet.Member {
+	return fleet.Member{
+		Role:        fleet.RoleDispatcher,
+		VM:          platform.VMName(fmt.Sprintf("vm-%d", i)),
+		Incarnation: "1",
+		Address:     fmt.Sprintf("127.72.0.%d:7102", i),
+	}
+}
+
+func engines(n int) *endpoint.Directory {
+	directory := endpoint.NewDirectory()
+	var vms []platform.VM
+	for i := range n {
+		vms = append(vms, platform.VM{
+			Name:        platform.VMName(fmt.Sprintf("engine-%d", i)),
+			Incarnation: "1",
+			Service:     string(testService),
+			State:       platform.VMLive,
+		})
+	}
+	directory.Update(vms)
+	return directory
+}
+
+type fixedDocument struct {
+	view *document.View
+}
+
+func (d *fixedDocument) View() *document.View { return d.view }
+
+func testDocument(slots, reserve int, floor float64) *fixedDocument {
+	policy := document.StandardPolicy()
+	policy.FloorShare = floor
+	return &fixedDocument{
+		view: &document.View{
+			Policy: policy,
+			Services: map[document.ServiceName]document.Service{
+				testService: {
+					Kind:         document.KindEngine,
+					Slots:        slots,
+					ReserveSlots: reserve,
+				},
+			},
+		},
+	}
+}
+
+// fakeEngine reports what a test says.
+type fakeEngine struct {
+	load func() (endpoint.Load, error)
+}
+
+func (e *fakeEngine) Load(context.Context, endpoint.Endpoint) (endpoint.Load, error) {
+	return e.load()
+}
+
+func idle() (endpoint.Load, error) {
+	return endpoint.Load{}, nil
+}
+
+// rig is a steward of one endpoint with eight slots.
+type rig struct {
+	steward *Steward
+	members *fixedMembers
+	engine  *fakeEngine
+	cancel  context.CancelFunc
+	ctx     context.Context
+	grants  chan *Grant
+}
+
+const only endpoint.ID = "engine-0/1"
+
+// startRig starts a steward of one endpoint for which n items wait.
+func startRig(n, reserve int, floor float64, load func() (endpoint.Load, error)) *rig {
+	r := &rig{
+		members: &fixedMembers{
+			self: member(1),
+		},
+		engine: &fakeEngine{
+			load: load,
+		},
+		grants: make(chan *Grant, n),
+	}
+	r.members.set(member(1))
+	r.steward = New(engines(1), r.members, testDocument(8, reserve, floor), r.engine, nil)
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	go func() { _ = r.steward.Run(r.ctx) }()
+	for range n {
+		r.want()
+	}
+	return r
+}
+
+// want waits for a slot on behalf of an item, which gives it back when it is stopped.
+func (r *rig) want() {
+	go func() {
+		grant, err := r.steward.Acquire(r.ctx, testService, nil)
+		if err != nil {
+			return
+		}
+		<-grant.Context().Done()
+		grant.Release()
+	}()
+}
+
+func (r *rig) running() int {
+	r.steward.mu.Lock()
+	defer r.steward.mu.Unlock()
+	running := 0
+	for _, a := range r.steward.accounts {
+		running += len(a.grants)
+	}
+	return running
+}
+
+func (r *rig) report(sequence uint64, online int) ReportReply {
+	return r.steward.Take(Report{
+		From:     "gateway",
+		Sequence: sequence,
+		Online:   map[endpoint.ID]int{only: online},
+	})
+}
+
+// later lets the fake clock run on and everything settle.
+func later(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestSlotsGranted(t *testing.T) {
+	cases := map[string]struct {
+		load  func() (endpoint.Load, error)
+		steps func(r *rig)
+		want  int
+	}{
+		"idle endpoint keeps the reserve": {
+			load:  idle,
+			steps: func(*rig) { later(2 * time.Second) },
+			want:  6,
+		},
+		"nothing before the first load is known": {
+			load:  func() (endpoint.Load, error) { return endpoint.Load{}, errors.New("late") },
+			steps: func(*rig) { later(2 * time.Second) },
+			want:  0,
+		},
+		"after the grace without a load": {
+			load:  func() (endpoint.Load, error) { return endpoint.Load{}, errors.New("late") },
+			steps: func(*rig) { later(openGrace + time.Second) },
+			want:  6,
+		},
+		"yields at once to online requests": {
+			load: idle,
+			steps: func(r *rig) {
+				later(2 * time.Second)
+				r.report(1, 4)
+				synctest.Wait()
+			},
+			want: 2,
+		},
+		"a report that was overtaken changes nothing": {
+			load: idle,
+			steps: func(r *rig) {
+				later(2 * time.Second)
+				r.report(2, 4)
+				r.report(1, 0)
+				for range 4 {
+					r.want()
+				}
+				synctest.Wait()
+			},
+			want: 2,
+		},
+		"a gateway that fell silent is forgotten": {
+			load: idle,
+			steps: func(r *rig) {
+				later(2 * time.Second)
+				r.report(1, 4)
+				later(onlineKept + 2*time.Second)
+				for range 4 {
+					r.want()
+				}
+				synctest.Wait()
+			},
+			want: 6,
+		},
+		"a new steward that no gateway has told sees the engine's load": {
+			load: func() (endpoint.Load, error) {
+				return endpoint.Load{Running: 5, AgeMilliseconds: 1000}, nil
+			},
+			steps: func(*rig) { later(900 * time.Millisecond) },
+			want:  1,
+		},
+		"another steward took over": {
+			load: idle,
+			steps: func(r *rig) {
+				later(2 * time.Second)
+				r.members.set(member(2))
+				later(time.Second)
+			},
+			want: 0,
+		},
+		"endpoint leaves": {
+			load: idle,
+			steps: func(r *rig) {
+				later(2 * time.Second)
+				r.steward.Leave([]endpoint.ID{only})
+				synctest.Wait()
+			},
+			want: 0,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := startRig(6, 2, 0, c.load)
+				defer r.cancel()
+				c.steps(r)
+				assert.Equal(t, r.running(), c.want)
+			})
+		})
+	}
+}
+
+// Two stewards of one endpoint, of which gateways tell only the other: the load that this one can't explain stops it.
+func TestSecondStewardYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var started atomic.Pointer[rig]
+		var others atomic.Int64
+		r := startRig(6, 2, 0, func() (endpoint.Load, error) {
+			return endpoint.Load{Running: started.Load().running() + int(others.Load())}, nil
+		})
+		started.Store(r)
+		defer r.cancel()
+		later(2 * time.Second)
+		assert.Equal(t, r.running(), 6)
+		others.Store(6)
+		later(2 * time.Second)
+		assert.Equal(t, r.running(), 0)
+	})
+}
+
+// The floor: online requests take every slot for minutes, and batch still gets its share of slot time.
+func TestFloorIsGiven(t *testing.T) {
+	for name, floor := range map[string]float64{"none": 0, "a twentieth": 0.05} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := startRig(200, 2, floor, idle)
+				defer r.cancel()
+				const step, steps = 50 * time.Millisecond, 2400
+				busy := 0
+				for i := range steps {
+					r.report(uint64(i+1), 12)
+					later(step)
+					running := r.running()
+					assert.Assert(t, running <= 1, "%d at once", running)
+					busy += running
+				}
+				share := float64(busy) / float64(8*steps)
+				assert.Assert(t, share >= 0.9*floor && share <= 1.3*floor, "share %.4f", share)
+			})
+		})
+	}
+}
+
+// Ownership that is worked out once per change agrees with the plain rendezvous hash.
+func TestOwnershipMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		directory := engines(rapid.IntRange(1, 20).Draw(t, "endpoints"))
+		members := &fixedMembers{}
+		owners := newOwnership(directory, members)
+		members.self = member(0)
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			var alive []fleet.Member
+			for i := range 6 {
+				if rapid.Bool().Draw(t, "alive") {
+					alive = append(alive, member(i))
+				}
+			}
+			members.set(alive...)
+			owned := map[endpoint.ID]bool{}
+			for _, found := range owners.ownedOf(testService) {
+				owned[found.ID] = true
+			}
+			for _, served := range directory.Serving(testService) {
+				naive, ok := fleet.Owner(alive, string(served.ID))
+				address, known := owners.ownerOf(served.ID)
+				if known != ok || address != naive.Address {
+					t.Fatalf("owner of %s is %q, not %q", served.ID, address, naive.Address)
+				}
+				if owned[served.ID] != (ok && naive.ID() == members.self.ID()) {
+					t.Fatalf("ownedOf is wrong about %s", served.ID)
+				}
+			}
+		}
+	})
+}
+
+func TestNotOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := startRig(0, 2, 0, idle)
+		defer r.cancel()
+		r.members.set(member(2))
+		_, err := r.steward.Acquire(r.ctx, testService, nil)
+		assert.ErrorIs(t, err, ErrNotOwner)
+	})
+}
