Measure harm and routing in one process, and test the endpoint choice

loadtest harm runs the same arrivals (rushes of ten times the calm rate, gaps of seconds) alone, with batch in every slot that never yields, and with stewards; loadtest routing compares ways to choose an endpoint. Real routers, stewards, reports over net/rpc and HTTP on loopback, stand-in engines. The engine's record says when a request got its slot.

Ruled out in the subset's test: sampling one gateway of ten, which said that ranges were uneven (1 to 4) because ranks follow ids, not numbers.

--- a/internal/endpoint/subset.go
+++ b/internal/endpoint/subset.go
@@ -21,11 +21,21 @@
 	if len(local) <= subsetSize {
 		return local
 	}
-	circle := slices.Clone(local)
+	rank, count := rankOf(gateways, self)
+	return rangeOf(circleOf(local), rank, count)
+}
+
+// circleOf returns endpoints in the order of their hashes.
+func circleOf(endpoints []Endpoint) []Endpoint {
+	circle := slices.Clone(endpoints)
 	slices.SortFunc(circle, func(a, b Endpoint) int {
 		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
 	})
-	rank, count := rankOf(gateways, self)
+	return circle
+}
+
+// rangeOf returns the endpoints of the gateway that has the rank among count.
+func rangeOf(circle []Endpoint, rank, count int) []Endpoint {
 	chosen := make([]Endpoint, 0, subsetSize)
 	start := rank * len(circle) / count
 	for i := range subsetSize {
--- /dev/null
+++ b/internal/loadtest/fleet.go
@@ -0,0 +1,241 @@
+package loadtest
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/peer"
+	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/router"
+	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/steward"
+)
+
+// Size says how large the fleet of a measurement is.
+type Size struct {
+	VMs     int
+	Engines int
+	Engine  standin.EngineOptions
+	Reserve int
+}
+
+const (
+	measuredService document.ServiceName = "beacon-assist"
+	measuredModel   document.ModelName   = "beacon-7b"
+)
+
+// testFleet is the parts of a fleet that online and batch requests meet in, in one process: real routers, stewards,
+// reports over net/rpc and HTTP on loopback, and stand-in engines.
+type testFleet struct {
+	size      Size
+	directory *endpoint.Directory
+	document  *fixedDocument
+	engines   []*standin.Engine
+	gateways  []*testGateway
+	stewards  []*steward.Steward
+	sender    *endpoint.Client
+	closers   []func()
+	members   []fleet.Member
+}
+
+type testGateway struct {
+	router   *router.Router
+	reporter *steward.Reporter
+	tracker  *endpoint.Tracker
+}
+
+// fixedMembers are members that never change, seen from one of them.
+type fixedMembers struct {
+	self    fleet.Member
+	members []fleet.Member
+}
+
+// Self returns the member this is.
+func (m *fixedMembers) Self() fleet.Member { return m.self }
+
+// Alive returns all members of a role.
+func (m *fixedMembers) Alive(role fleet.Role) []fleet.Member {
+	var alive []fleet.Member
+	for _, member := range m.members {
+		if member.Role == role {
+			alive = append(alive, member)
+		}
+	}
+	return alive
+}
+
+// Version never grows.
+func (m *fixedMembers) Version() uint64 { return 1 }
+
+type fixedDocument struct {
+	view *document.View
+}
+
+// View returns the view.
+func (d *fixedDocument) View() *document.View { return d.view }
+
+// pickerOf makes a gateway's picker.
+type pickerOf func(directory *endpoint.Directory, tracker *endpoint.Tracker, members *fixedMembers) router.Picker
+
+func ownPicker(directory *endpoint.Directory, tracker *endpoint.Tracker, members *fixedMembers) router.Picker {
+	return endpoint.NewPicker(directory, tracker, members)
+}
+
+// startFleet starts the fleet; stop ends it.
+func startFleet(ctx context.Context, size Size, picker pickerOf) (*testFleet, error) {
+	f := &testFleet{
+		size:      size,
+		directory: endpoint.NewDirectory(),
+		sender:    endpoint.NewClient(),
+		document: &fixedDocument{
+			view: &document.View{
+				Policy: document.StandardPolicy(),
+				Services: map[document.ServiceName]document.Service{
+					measuredService: {
+						Kind:         document.KindEngine,
+						Model:        measuredModel,
+						Slots:        size.Engine.Slots,
+						ReserveSlots: size.Reserve,
+					},
+				},
+			},
+		},
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.closers = append(f.closers, cancel)
+	if err := f.startEngines(); err != nil {
+		return nil, err
+	}
+	servers, listeners, err := f.listen()
+	if err != nil {
+		return nil, err
+	}
+	for i := range size.VMs {
+		f.startDispatcher(ctx, i, servers[i], listeners[i])
+	}
+	for i := range size.VMs {
+		f.startGateway(ctx, i, picker)
+	}
+	return f, nil
+}
+
+func (f *testFleet) stop() {
+	for _, closer := range f.closers {
+		closer()
+	}
+}
+
+var measuredDomains = []platform.FailureDomain{"garmisch", "berchtesgaden", "oberstdorf"}
+
+func (f *testFleet) startEngines() error {
+	var vms []platform.VM
+	for i := range f.size.Engines {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.75.0.%d:0", 101+i))
+		if err != nil {
+			return err
+		}
+		engine := standin.NewEngine(f.size.Engine)
+		server := &http.Server{
+			Handler:           engine.Handler(),
+			ReadHeaderTimeout: time.Minute,
+		}
+		go func() { _ = server.Serve(listener) }()
+		f.closers = append(f.closers, func() { _ = server.Close() })
+		f.engines = append(f.engines, engine)
+		host, port, err := net.SplitHostPort(listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		number, err := strconv.Atoi(port)
+		if err != nil {
+			return err
+		}
+		vms = append(vms, platform.VM{
+			Name:          platform.VMName(fmt.Sprintf("engine-%d", i)),
+			Incarnation:   "1",
+			Address:       host,
+			Port:          number,
+			Region:        "bayern-sued",
+			FailureDomain: measuredDomains[i%len(measuredDomains)],
+			Service:       string(measuredService),
+			State:         platform.VMLive,
+		})
+	}
+	f.directory.Update(vms)
+	return nil
+}
+
+const measuredSecret = "measured"
+
+func (f *testFleet) member(role fleet.Role, i int, address string) fleet.Member {
+	return fleet.Member{
+		Role:          role,
+		VM:            platform.VMName(fmt.Sprintf("vm-%d", i)),
+		Incarnation:   "1",
+		Address:       address,
+		Region:        "bayern-sued",
+		FailureDomain: measuredDomains[i%len(measuredDomains)],
+	}
+}
+
+// listen opens the dispatchers' net/rpc servers, so that all members are known before anything starts.
+func (f *testFleet) listen() ([]*peer.Server, []net.Listener, error) {
+	var servers []*peer.Server
+	var listeners []net.Listener
+	for i := range f.size.VMs {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.75.0.%d:0", 11+i))
+		if err != nil {
+			return nil, nil, err
+		}
+		listeners = append(listeners, listener)
+		servers = append(servers, peer.NewServer(peer.Secret(measuredSecret), slog.New(slog.DiscardHandler)))
+		f.members = append(f.members,
+			f.member(fleet.RoleDispatcher, i, listener.Addr().String()),
+			f.member(fleet.RoleGateway, i, fmt.Sprintf("gateway-%d", i)))
+	}
+	return servers, listeners, nil
+}
+
+func (f *testFleet) seenFrom(role fleet.Role, i int) *fixedMembers {
+	seen := &fixedMembers{
+		members: f.members,
+	}
+	seen.self = seen.Alive(role)[i]
+	return seen
+}
+
+func (f *testFleet) startDispatcher(ctx context.Context, i int, server *peer.Server, listener net.Listener) {
+	made := steward.New(f.directory, f.seenFrom(fleet.RoleDispatcher, i), f.document, f.sender, nil)
+	if err := server.Register("Steward", steward.NewService(made)); err != nil {
+		panic(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	go func() { _ = made.Run(ctx) }()
+	f.closers = append(f.closers, func() {
+		_ = listener.Close()
+		server.Close()
+	})
+	f.stewards = append(f.stewards, made)
+}
+
+func (f *testFleet) startGateway(ctx context.Context, i int, picker pickerOf) {
+	members := f.seenFrom(fleet.RoleGateway, i)
+	tracker := endpoint.NewTracker()
+	peers := peer.NewPool(peer.Secret(measuredSecret))
+	reporter := steward.NewReporter(tracker, f.directory, members, peers)
+	go func() { _ = reporter.Run(ctx) }()
+	f.closers = append(f.closers, peers.Close)
+	f.gateways = append(f.gateways, &testGateway{
+		router:   router.New(picker(f.directory, tracker, members), endpoint.NewClient(), reporter, nil, slog.New(slog.DiscardHandler)),
+		reporter: reporter,
+		tracker:  tracker,
+	})
+}
--- a/internal/loadtest/loadtest.go
+++ b/internal/loadtest/loadtest.go
@@ -66,6 +66,7 @@
 	flags.Float64Var(&options.PerSec, "rate", 10, "requests a second")
 	flags.Float64Var(&options.Seconds, "seconds", 10, "how long to send")
 	flags.IntVar(&options.Tokens, "tokens", 16, "tokens an answer")
+	root.AddCommand(newHarmCommand(), newRoutingCommand())
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		return 1
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -182,6 +182,7 @@
 		return
 	}
 	defer e.slots.leave()
+	run.admitted()
 	e.generate(w, r, generation{
 		request: in,
 		prompt:  prompt,
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -15,6 +15,8 @@
 	Class     string
 	Path      string
 	Started   time.Time
+	// Admitted is when the request got its slot; zero if it never did.
+	Admitted  time.Time
 	Ended     time.Time
 	Resumed   int
 	Tokens    int
@@ -48,6 +50,12 @@
 	return run
 }
 
+func (u *Run) admitted() {
+	u.record.mu.Lock()
+	defer u.record.mu.Unlock()
+	u.Admitted = time.Now()
+}
+
 func (u *Run) token() {
 	u.record.mu.Lock()
 	defer u.record.mu.Unlock()
