--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -34,8 +34,8 @@
 		return err
 	}
 	tracker := endpoint.NewTracker()
-	reporter := steward.NewReporter(tracker, b.fleet, b.peers)
-	picker := endpoint.NewPicker(b.directory, tracker, s.VM.FailureDomain)
+	reporter := steward.NewReporter(tracker, b.directory, b.fleet, b.peers)
+	picker := endpoint.NewPicker(b.directory, tracker, b.fleet)
 	counters := burn.NewCounters(time.Now)
 	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
 		return err
