Callers' API: list and delete files, and nothing kept of a refused upload

Cause: a file with a broken line was refused, but the lots before the line stayed in the object store for ever; files could not be listed or deleted, and paths that do not exist got an error outside of the published shape.

An upload that is refused or breaks off removes what it stored. Deleting hides the file's row; jobs made from it keep their input, so that a deletion which races a new job can lose no item (ruled out: deleting the objects, for which each new job would have to write the file's row).

--- a/internal/gateway/file.go
+++ b/internal/gateway/file.go
@@ -62,6 +62,7 @@
 		intake := job.NewIntake(g.jobs.Objects(), c.view.Policy, c.organisation, part.FileName())
 		file, err := intake.Read(c.r.Context(), part)
 		if err != nil {
+			g.discard(c, intake)
 			return err
 		}
 		if err := g.jobs.PutFile(c.r.Context(), file); err != nil {
@@ -73,6 +74,13 @@
 	}
 }
 
+// discard removes what a broken upload left.
+func (g *Gateway) discard(c *caller, intake *job.Intake) {
+	if err := intake.Discard(c.r.Context()); err != nil {
+		g.log.Warn("broken upload not removed", "request", c.id, "organisation", c.organisation, "err", err)
+	}
+}
+
 func (g *Gateway) serveFile(c *caller) error {
 	id := c.r.PathValue("file")
 	if batch, kind := resultFile(id); kind != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	Objects() job.Objects
 	PutFile(ctx context.Context, file job.File) error
 	File(ctx context.Context, id document.OrganisationID, file job.FileID) (job.File, error)
+	FilesOf(ctx context.Context, id document.OrganisationID, after job.FileID, limit int) ([]job.File, error)
+	DeleteFile(ctx context.Context, id document.OrganisationID, file job.FileID) error
 	Create(ctx context.Context, made job.Job) (job.Job, error)
 	Job(ctx context.Context, id document.OrganisationID, wanted job.ID) (job.Job, error)
 	JobsOf(ctx context.Context, id document.OrganisationID, after job.ID, limit int) ([]job.Job, error)
@@ -88,6 +90,8 @@
 	mux.HandleFunc("POST /v1/completions", g.as(g.serveCompletion))
 	mux.HandleFunc("GET /v1/models", g.as(g.serveModels))
 	mux.HandleFunc("POST /v1/files", g.as(g.serveUpload))
+	mux.HandleFunc("GET /v1/files", g.as(g.serveFiles))
+	mux.HandleFunc("DELETE /v1/files/{file}", g.as(g.serveDeleteFile))
 	mux.HandleFunc("GET /v1/files/{file}", g.as(g.serveFile))
 	mux.HandleFunc("GET /v1/files/{file}/content", g.as(g.serveContent))
 	mux.HandleFunc("POST /v1/batches", g.as(g.serveCreateBatch))
@@ -95,6 +99,7 @@
 	mux.HandleFunc("GET /v1/batches/{batch}", g.as(g.serveBatch))
 	mux.HandleFunc("POST /v1/batches/{batch}/cancel", g.as(g.serveCancelBatch))
 	mux.HandleFunc("/services/{service}/{path...}", g.as(g.servePlain))
+	mux.HandleFunc("/", g.as(g.serveNothing))
 	return mux
 }
 
--- /dev/null
+++ b/internal/job/files.go
@@ -0,0 +1,83 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/platform"
+)
+
+// partitionOwnedFile begins the partitions that list an organisation's files.
+const partitionOwnedFile = "OrganisationFile/"
+
+// ownedFile returns the write of the row that lists a file.
+func ownedFile(file File) (platform.Write, error) {
+	return put(partitionOwnedFile+string(file.Organisation), string(file.ID), 0, file.Created)
+}
+
+// FilesOf returns up to limit files of the organisation in order of their ids, after the given one.
+func (s *Store) FilesOf(ctx context.Context, organisation document.OrganisationID, after FileID, limit int) ([]File, error) {
+	rows, err := s.table.Page(ctx, partitionOwnedFile+string(organisation), string(after), limit)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	files := make([]File, 0, len(rows))
+	for _, row := range rows {
+		file, err := s.File(ctx, organisation, FileID(row.Key.Sort))
+		if errors.Is(err, ErrNotFound) {
+			// Deleted meanwhile.
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, file)
+	}
+	return files, nil
+}
+
+// DeleteFile hides a file from its organisation. Jobs made from it keep their input.
+func (s *Store) DeleteFile(ctx context.Context, organisation document.OrganisationID, id FileID) error {
+	var file File
+	version, err := s.get(ctx, partitionFile, string(id), &file)
+	if err != nil {
+		return err
+	}
+	if file.Organisation != organisation || !file.Deleted.IsZero() {
+		return ErrNotFound
+	}
+	file.Deleted = time.Now().UTC()
+	hidden, err := put(partitionFile, string(id), version, file)
+	if err != nil {
+		return err
+	}
+	unlisted := platform.Write{
+		Key:     key(partitionOwnedFile+string(organisation), string(id)),
+		Action:  platform.ActionDelete,
+		Version: 1,
+	}
+	return s.settle(ctx, platform.ClassCommit, []platform.Write{hidden, unlisted}, func() (bool, error) {
+		_, err := s.File(ctx, organisation, id)
+		return errors.Is(err, ErrNotFound), err
+	})
+}
+
+// discardTimeout bounds the removal of what a broken upload left.
+const discardTimeout = 30 * time.Second
+
+// Discard removes the lots that were stored, after an upload that was not accepted.
+func (i *Intake) Discard(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), discardTimeout)
+	defer cancel()
+	var failed error
+	// The lot after the last may have been stored too, if its put was cut off.
+	for number := range i.file.Lots + 1 {
+		err := i.objects.Delete(ctx, InputObject(i.file.ID, number))
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			failed = storeError(err)
+		}
+	}
+	return failed
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -35,6 +35,8 @@
 	// Model is the model that every item names; it is empty for plain services.
 	Model   document.ModelName
 	Created time.Time
+	// Deleted is when the organisation deleted the file, or zero.
+	Deleted time.Time
 }
 
 // State is a job's state.
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -94,7 +94,11 @@
 	if err != nil {
 		return err
 	}
-	return s.settle(ctx, platform.ClassCommit, []platform.Write{write}, func() (bool, error) {
+	listed, err := ownedFile(file)
+	if err != nil {
+		return err
+	}
+	return s.settle(ctx, platform.ClassCommit, []platform.Write{write, listed}, func() (bool, error) {
 		_, err := s.File(ctx, file.Organisation, file.ID)
 		return err == nil, err
 	})
@@ -142,7 +146,7 @@
 	if _, err := s.get(ctx, partitionFile, string(id), &file); err != nil {
 		return File{}, err
 	}
-	if file.Organisation != organisation {
+	if file.Organisation != organisation || !file.Deleted.IsZero() {
 		return File{}, ErrNotFound
 	}
 	return file, nil
