--- a/pkg/client/caller.go
+++ b/pkg/client/caller.go
@@ -112,20 +112,14 @@
 	return form.Close()
 }
 
-// createAttempts is how often a creation whose outcome is unknown is repeated; its key makes repeats harmless.
-const createAttempts = 5
-
 // Create makes a job. The key names it: creating it again returns the same job.
 func (c *Caller) Create(ctx context.Context, made NewBatch, key string) (Batch, error) {
 	var batch Batch
-	var err error
-	for range createAttempts {
-		err = c.do(ctx, c.base.New().Post("/v1/batches").Set("Idempotency-Key", key).BodyJSON(made), &batch)
-		var failure *Failure
-		if err == nil || ctx.Err() != nil || !errors.As(err, &failure) || failure.Code != "outcome_unknown" {
-			break
-		}
-	}
+	err := retry(ctx, func() error {
+		return c.do(ctx, c.base.New().Post("/v1/batches").Set("Idempotency-Key", key).BodyJSON(made), &batch)
+	}, func(err error) bool {
+		return errors.Is(err, ErrUnavailable)
+	})
 	return batch, err
 }
 
--- a/pkg/client/operator.go
+++ b/pkg/client/operator.go
@@ -59,11 +59,8 @@
 	return section, err
 }
 
-// putAttempts is how often a put whose outcome is unknown is repeated; the change's id makes repeats harmless.
-const putAttempts = 5
-
 // Put makes the section's entries those given, if the section still has the version. The id names the change: putting
-// it again changes nothing more.
+// it again changes nothing more, and that is done while the controller is unavailable.
 func (o *Operator) Put(ctx context.Context, section Section, id string) (Change, error) {
 	body := struct {
 		Entries map[string]json.RawMessage
@@ -71,18 +68,15 @@
 		Entries: section.Entries,
 	}
 	var change Change
-	var err error
-	for range putAttempts {
+	err := retry(ctx, func() error {
 		request := o.base.New().Put("/document/"+url.PathEscape(section.Name)).
 			Set("If-Match", strconv.Quote(strconv.FormatInt(section.Version, 10))).
 			Set("Idempotency-Key", id).
 			BodyJSON(body)
-		err = o.do(ctx, request, &change)
-		var failure *Failure
-		if err == nil || ctx.Err() != nil || !errors.As(err, &failure) || failure.Status != http.StatusGatewayTimeout {
-			break
-		}
-	}
+		return o.do(ctx, request, &change)
+	}, func(err error) bool {
+		return errors.Is(err, ErrUnavailable)
+	})
 	return change, err
 }
 
