Agree on the published statuses of refusals

The test was wrong: the published API answers 404 model_not_found, and 413; an unknown path is unknown_url.

--- a/internal/gateway/list.go
+++ b/internal/gateway/list.go
@@ -64,5 +64,5 @@
 // serveNothing answers requests for paths that do not exist, in the published error shape.
 func (g *Gateway) serveNothing(c *caller) error {
 	ticket := &request.Ticket{}
-	return ticket.Refuse(http.StatusNotFound, "unknown_path", "there is no "+c.r.Method+" "+c.r.URL.Path, 0)
+	return ticket.Refuse(http.StatusNotFound, "unknown_url", "there is no "+c.r.Method+" "+c.r.URL.Path, 0)
 }
