Batch: results page by page while the job runs, due times answered honestly

Cause: a reader of a running job's results had no way to go on where it had stopped without missing lots that end later. A page now ends before the first lot that is not finished; TestResultPageMissesNoLot. A due time that has passed is refused as due_unreachable; a running job's metadata tells OnTime, AtRisk or Late from its own rate.

--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -113,13 +114,62 @@
 		Created:      now,
 		Due:          now.Add(window),
 	}
-	if due, given := body.Metadata[dueKey]; given {
-		made.Due, err = time.Parse(time.RFC3339, due)
-		if err != nil {
-			return job.Job{}, request.Invalid("invalid_due", dueKey+" must be a time in RFC 3339")
-		}
+	made.Due, err = parseDue(body.Metadata, made.Due, now)
+	return made, err
+}
+
+// parseDue returns the due time that the metadata asks for. One that has passed can't be met for certain; whether a
+// later one can is reported while the job runs.
+func parseDue(metadata map[string]string, due, now time.Time) (time.Time, error) {
+	given, ok := metadata[dueKey]
+	if !ok {
+		return due, nil
+	}
+	asked, err := time.Parse(time.RFC3339, given)
+	if err != nil {
+		return due, request.Invalid("invalid_due", dueKey+" must be a time in RFC 3339")
+	}
+	if !asked.After(now) {
+		return due, request.Invalid("due_unreachable", "the due time has passed")
+	}
+	return asked, nil
+}
+
+const (
+	// riskKey is the key of a running batch's metadata that tells whether its due time is at risk.
+	riskKey = "due_risk"
+	// riskLeast is how long a job must have run before its rate says anything.
+	riskLeast = 10 * time.Second
+)
+
+// dueRisk returns how a running job stands to its due time: OnTime, AtRisk or Late.
+func dueRisk(found job.Job, counts job.Counts, now time.Time) string {
+	done := counts.Completed + counts.Failed
+	ran := now.Sub(found.Created)
+	switch {
+	case now.After(found.Due):
+		return "Late"
+	case ran < riskLeast:
+		return "OnTime"
+	case done == 0 && ran > found.Due.Sub(now):
+		return "AtRisk"
+	case done > 0 && time.Duration(float64(ran)/float64(done)*float64(found.Items-done)) > found.Due.Sub(now):
+		return "AtRisk"
+	}
+	return "OnTime"
+}
+
+// metadataOf returns the caller's metadata, with the risk of a job that runs.
+func metadataOf(found job.Job, counts job.Counts) map[string]string {
+	if found.State != job.StateRunning {
+		return found.Metadata
+	}
+	metadata := maps.Clone(found.Metadata)
+	if metadata == nil {
+		metadata = map[string]string{}
 	}
-	return made, nil
+	metadata[riskKey] = dueRisk(found, counts, time.Now())
+	return metadata
 }
 
 // batchService returns the service that a job's items go to.
@@ -194,7 +244,7 @@
 			Completed: counts.Completed,
 			Failed:    counts.Failed,
 		},
-		Metadata: found.Metadata,
+		Metadata: metadataOf(found, counts),
 	}
 	if counts.Failed > 0 {
 		body.ErrorFileID = errorPrefix + string(found.ID)
--- a/internal/gateway/file.go
+++ b/internal/gateway/file.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
 
 	"rhubarbrudder/internal/job"
@@ -135,13 +138,21 @@
 	if kind == "" {
 		return g.inputObjects(c, job.FileID(id))
 	}
-	if _, err := g.jobs.Job(c.r.Context(), c.organisation, batch); err != nil {
+	found, err := g.jobs.Job(c.r.Context(), c.organisation, batch)
+	if err != nil {
 		return nil, err
 	}
 	lots, err := g.jobs.Lots(c.r.Context(), batch)
 	if err != nil {
 		return nil, err
 	}
+	if wanted, paged := parsePage(c.r.URL.Query()); paged {
+		var more bool
+		lots, more = wanted.of(lots, found.State.Ended())
+		if more {
+			c.w.Header().Set(headerNextLot, string(wanted.next(lots)))
+		}
+	}
 	var objects []platform.ObjectName
 	for _, lot := range lots {
 		name := lot.Results
@@ -155,6 +166,58 @@
 	return objects, nil
 }
 
+// headerNextLot carries the lot after which the next page of results begins; it is missing from the last page.
+const headerNextLot = "Rhubarbrudder-Next-After"
+
+// resultPage is what a caller asks for of a job's results.
+type resultPage struct {
+	after job.LotID
+	limit int
+}
+
+// parsePage returns the page that the query asks for, and false if it asks for everything.
+func parsePage(query url.Values) (resultPage, bool) {
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit < 1 {
+		limit = math.MaxInt
+	}
+	return resultPage{
+		after: job.LotID(query.Get("after")),
+		limit: limit,
+	}, query.Has("after") || query.Has("limit")
+}
+
+// of returns the page's lots and whether more will follow. While the job runs, a page ends before the first lot that
+// is not finished, so that a reader who goes on after the last lot of each page misses none.
+func (p resultPage) of(lots []job.LotRow, ended bool) (page []job.LotRow, more bool) {
+	input := 0
+	for _, lot := range lots {
+		gap := lot.Remainder == 0 && lot.ID != job.BaseLot(input)
+		if !ended && (gap || lot.State != job.LotDone) {
+			return page, true
+		}
+		if lot.Remainder == 0 {
+			input++
+		}
+		if lot.ID <= p.after {
+			continue
+		}
+		if len(page) == p.limit {
+			return page, true
+		}
+		page = append(page, lot)
+	}
+	return page, !ended
+}
+
+// next returns the lot after which the following page begins.
+func (p resultPage) next(page []job.LotRow) job.LotID {
+	if len(page) == 0 {
+		return p.after
+	}
+	return page[len(page)-1].ID
+}
+
 func (g *Gateway) inputObjects(c *caller, id job.FileID) ([]platform.ObjectName, error) {
 	file, err := g.jobs.File(c.r.Context(), c.organisation, id)
 	if err != nil {
