--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -19,7 +19,10 @@
 
 // Client sends requests to endpoints.
 type Client struct {
-	http *http.Client
+	// kept keeps connections open between requests; its transport may repeat a request by itself.
+	kept *http.Client
+	// fresh opens a connection for each request, on which the transport never repeats one.
+	fresh *http.Client
 }
 
 const (
@@ -28,23 +31,29 @@
 	idleTimeout     = 90 * time.Second
 )
 
-// NewClient returns a client whose connections to endpoints are kept open between requests.
+// NewClient returns a client whose connections to endpoints are kept open between requests that may be repeated.
 func NewClient() *Client {
+	return &Client{
+		kept:  newHTTPClient(true),
+		fresh: newHTTPClient(false),
+	}
+}
+
+func newHTTPClient(keep bool) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 	}
-	return &Client{
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				MaxIdleConns:        0,
-				MaxIdleConnsPerHost: idleConnections,
-				IdleConnTimeout:     idleTimeout,
-				DisableCompression:  true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error {
-				return http.ErrUseLastResponse
-			},
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableKeepAlives:   !keep,
+			MaxIdleConns:        0,
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
 		},
 	}
 }
@@ -69,7 +78,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	req, err := sling.New().Client(c.http).Base("http://" + target.Address).Body(bytes.NewReader(body)).Request()
+	req, err := sling.New().Base("http://" + target.Address).Body(bytes.NewReader(body)).Request()
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -82,12 +91,11 @@
 	copyHeader(req.Header, r.Header)
 	req.Header.Set(HeaderRequestID, string(r.ID))
 	req.Header.Set(HeaderClass, string(r.Class))
+	client := c.kept
 	if !r.Idempotent {
-		// Without GetBody, and with a body even if it is empty, the transport never sends a request twice by itself.
-		req.GetBody = nil
-		req.Body = io.NopCloser(bytes.NewReader(body))
+		client = c.fresh
 	}
-	response, err := c.http.Do(req)
+	response, err := client.Do(req)
 	if err != nil {
 		return nil, sendError(err)
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -25,6 +25,7 @@
 	errUnknownPath    = request.Reject(http.StatusNotFound, "not_found", "there is no such path or method")
 	errStreamedCall   = errors.New("gateway: a call's answer was streamed")
 	errBegun          = errors.New("gateway: answer broke off after it had begun")
+	errNotFresh       = errors.New("gateway: document not confirmed")
 )
 
 // errorBody is an error in the published shape.
@@ -88,6 +89,8 @@
 		return ticket.Vouch(refusal)
 	}
 	switch {
+	case errors.Is(err, errNotFresh):
+		return ticket.Refuse(http.StatusServiceUnavailable, "cut_off", "this VM is cut off from the others and takes no new work", retrySoon)
 	case errors.Is(err, organisation.ErrNoKey), errors.Is(err, organisation.ErrWrongKey):
 		return ticket.Refuse(http.StatusUnauthorized, "invalid_api_key", "the key is missing or wrong", 0)
 	case errors.Is(err, organisation.ErrOverLimit):
--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -34,9 +34,12 @@
 		Store:     b.store,
 		Members:   b.fleet,
 		Directory: b.directory,
+		Caller:    b.peers,
+		Jobs:      b.jobs,
 		Root:      document.Hash(strings.TrimSpace(string(token))),
 		Log:       b.log,
 	})
+	b.status.AddCheck(served.Accepting)
 	group := &run.Group{}
 	if err := b.common(ctx, group, at); err != nil {
 		return err
@@ -46,5 +49,7 @@
 	}
 	b.status.SetReady(true)
 	b.log.Info("controller started", "address", s.VM.Join(s.Ports.Operator))
-	return group.Run()
+	err = group.Run()
+	served.Wait()
+	return err
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -7,6 +7,7 @@
 
 	"github.com/oklog/run"
 
+	"rhubarbrudder/internal/burn"
 	"rhubarbrudder/internal/call"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
@@ -34,24 +35,22 @@
 	tracker := endpoint.NewTracker()
 	reporter := steward.NewReporter(tracker, b.fleet, b.peers)
 	picker := endpoint.NewPicker(b.directory, tracker, s.VM.FailureDomain)
-	stall := router.Stall{
-		First:   time.Duration(s.Timing.FirstToken),
-		Between: time.Duration(s.Timing.Token),
+	calls, err := newCalls(b)
+	if err != nil {
+		return err
 	}
-	calls := call.New(b.table, b.objects, b.peers, call.Owner{
-		Member:  b.self.ID(),
-		Address: b.self.Address,
-	}, b.log)
-	if err := b.server.Register("Call", call.NewService(calls)); err != nil {
+	counters := burn.NewCounters(time.Now)
+	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
 		return err
 	}
+	routes := router.New(picker, endpoint.NewClient(), reporter, stallOf(s), b.notes, b.log)
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
-		Router:   router.New(picker, endpoint.NewClient(), reporter, stall, b.notes, b.log),
+		Router:   burn.NewWatch(routes, b.follower, counters),
 		Jobs:     b.jobs,
 		Calls:    calls,
-		Limiter:  organisation.NewLimiter(),
+		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
 		Log:      b.log,
 	})
 	group := &run.Group{}
@@ -72,3 +71,18 @@
 	calls.Wait(stored)
 	return nil
 }
+
+func newCalls(b *base) (*call.Calls, error) {
+	calls := call.New(b.table, b.objects, b.peers, call.Owner{
+		Member:  b.self.ID(),
+		Address: b.self.Address,
+	}, b.log)
+	return calls, b.server.Register("Call", call.NewService(calls))
+}
+
+func stallOf(s settings.Settings) router.Stall {
+	return router.Stall{
+		First:   time.Duration(s.Timing.FirstToken),
+		Between: time.Duration(s.Timing.Token),
+	}
+}
