Test: replacing every VM in turn under load cuts no request

Seen failing first: with readiness left on, the balancer's dials are refused. With the servers closed instead of shut down this test still passes, because its answers end within the drain; that is what TestGracefulShutdownCutsNoRequest is for. A call takes two writes and a resend one more, which is refused (TestCallTakesTwoWrites), in place of the looser bound in TestResend.

--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -319,6 +319,22 @@
 	})
 }
 
+// TestCallTakesTwoWrites counts the writes of a call and of a resend, whose write is refused.
+func TestCallTakesTwoWrites(t *testing.T) {
+	f := newTable()
+	calls := newNetwork(f, 1).gateways[address(0)]
+	claim, _, err := calls.Begin(t.Context(), name("key"), document.HashOf("request"), "1")
+	assert.NilError(t, err)
+	claim.Finish(t.Context(), call.Answer{
+		Body: []byte("seat 4"),
+	})
+	assert.Equal(t, f.count(), 2)
+	_, answer, err := calls.Begin(t.Context(), name("key"), document.HashOf("request"), "2")
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Body), "seat 4")
+	assert.Equal(t, f.count(), 3)
+}
+
 // TestResend sends a key again after each way the first sending may have ended.
 func TestResend(t *testing.T) {
 	cases := map[string]struct {
@@ -386,7 +402,6 @@
 			if tt.answer != "" {
 				assert.Equal(t, string(answer.Body), tt.answer)
 			}
-			assert.Assert(t, f.count() <= 4)
 		})
 	}
 }
--- /dev/null
+++ b/test/online_rolling_test.go
@@ -0,0 +1,171 @@
+package test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/settings"
+)
+
+// balancer sends to VMs whose gateway said, some time ago, that it is ready.
+type balancer struct {
+	cluster *cluster
+	mu      sync.Mutex
+	ready   []int
+	next    int
+}
+
+const (
+	balancerPeriod = 100 * time.Millisecond
+	// balancerLag is how late the balancer acts on what it saw; the gateways drain for longer.
+	balancerLag = 300 * time.Millisecond
+	rollDrain   = 2 * time.Second
+)
+
+func (b *balancer) run(ctx context.Context) {
+	ticker := time.NewTicker(balancerPeriod)
+	defer ticker.Stop()
+	for {
+		b.poll()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// poll looks at every VM and takes over later what it saw.
+func (b *balancer) poll() {
+	var ready []int
+	for vm, s := range b.cluster.settings {
+		response, err := http.Get("http://" + s.VM.Join(s.Ports.GatewayStatus) + "/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			ready = append(ready, vm)
+		}
+	}
+	time.AfterFunc(balancerLag, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.ready = ready
+	})
+}
+
+func (b *balancer) pick() (int, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return 0, false
+	}
+	b.next++
+	return b.ready[b.next%len(b.ready)], true
+}
+
+func (b *balancer) serves(vms int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ready) == vms
+}
+
+// TestRollingReplacementCutsNoRequest replaces every process of every VM in turn under load.
+func TestRollingReplacementCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	const callers = 16
+	options := defaultCluster(58)
+	options.engine.Slots = callers
+	options.engine.TokenInterval = 5 * time.Millisecond
+	options.customise = func(s *settings.Settings) {
+		s.Timing.Drain = settings.Duration(rollDrain)
+	}
+	c := newCluster(t, options)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	balanced := &balancer{
+		cluster: c,
+	}
+	go balanced.run(ctx)
+	waitFor(t, "the balancer to see every VM", readyTimeout, func() bool { return balanced.serves(options.vms) })
+	var answered atomic.Int64
+	var mu sync.Mutex
+	var failures []error
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err := balanced.request(ctx, fmt.Sprintf("%d-%d", caller, i), i); err != nil {
+					mu.Lock()
+					failures = append(failures, err)
+					mu.Unlock()
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for vm := range options.vms {
+		before := answered.Load()
+		for _, role := range options.roles {
+			c.signal(role, vm, syscall.SIGTERM)
+		}
+		for _, role := range options.roles {
+			c.waitExit(role, vm)
+			c.start(role, vm)
+		}
+		for _, role := range options.roles {
+			c.waitReady(role, vm)
+		}
+		waitFor(t, "the balancer to see every VM", readyTimeout, func() bool { return balanced.serves(options.vms) })
+		assert.Assert(t, answered.Load() > before)
+	}
+	close(stop)
+	group.Wait()
+	t.Logf("%d requests over %d replacements", answered.Load(), options.vms)
+	assert.NilError(t, errors.Join(failures...))
+	for key, runs := range c.runsOf() {
+		assert.Equal(t, runs, 1, "runs of %s", key)
+	}
+}
+
+var (
+	errNoVM  = errors.New("no VM is ready")
+	errWrong = errors.New("wrong answer")
+)
+
+// request sends a chat, or each fourth time a confirmation, and checks that its answer is whole.
+func (b *balancer) request(ctx context.Context, name string, i int) error {
+	vm, ok := b.pick()
+	if !ok {
+		return errNoVM
+	}
+	if i%4 == 3 {
+		response, body, err := b.cluster.confirm(ctx, vm, name)
+		if err == nil && response.StatusCode != http.StatusOK {
+			err = fmt.Errorf("%w: %s", errWrong, body)
+		}
+		return err
+	}
+	asked := completions["chat streamed"]
+	_, body, err := b.cluster.post(ctx, vm, asked.path(), asked.body(name), nil)
+	if got := asked.read(body); err == nil && (got.text != asked.want(name) || !got.end) {
+		err = fmt.Errorf("%w: %s", errWrong, body)
+	}
+	return err
+}
