--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	Objects() job.Objects
 	PutFile(ctx context.Context, file job.File) error
 	File(ctx context.Context, id document.OrganisationID, file job.FileID) (job.File, error)
+	FilesOf(ctx context.Context, id document.OrganisationID, after job.FileID, limit int) ([]job.File, error)
+	DeleteFile(ctx context.Context, id document.OrganisationID, file job.FileID) error
 	Create(ctx context.Context, made job.Job) (job.Job, error)
 	Job(ctx context.Context, id document.OrganisationID, wanted job.ID) (job.Job, error)
 	JobsOf(ctx context.Context, id document.OrganisationID, after job.ID, limit int) ([]job.Job, error)
@@ -45,6 +47,11 @@
 	Lots(ctx context.Context, id job.ID) ([]job.LotRow, error)
 }
 
+// Canceller tells the dispatchers that a job was cancelled.
+type Canceller interface {
+	Cancel(id job.ID)
+}
+
 // Limiter holds organisations to their limits.
 type Limiter interface {
 	Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error)
@@ -56,6 +63,7 @@
 	members  Members
 	router   Router
 	jobs     Jobs
+	cancel   Canceller
 	calls    Calls
 	limiter  Limiter
 	log      *slog.Logger
@@ -67,6 +75,7 @@
 	Members  Members
 	Router   Router
 	Jobs     Jobs
+	Cancel   Canceller
 	Calls    Calls
 	Limiter  Limiter
 	Log      *slog.Logger
@@ -79,6 +88,7 @@
 		members:  parts.Members,
 		router:   parts.Router,
 		jobs:     parts.Jobs,
+		cancel:   parts.Cancel,
 		calls:    parts.Calls,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
@@ -92,6 +102,8 @@
 	mux.HandleFunc("POST /v1/completions", g.as(g.serveCompletion))
 	mux.HandleFunc("GET /v1/models", g.as(g.serveModels))
 	mux.HandleFunc("POST /v1/files", g.as(g.serveUpload))
+	mux.HandleFunc("GET /v1/files", g.as(g.serveFiles))
+	mux.HandleFunc("DELETE /v1/files/{file}", g.as(g.serveDeleteFile))
 	mux.HandleFunc("GET /v1/files/{file}", g.as(g.serveFile))
 	mux.HandleFunc("GET /v1/files/{file}/content", g.as(g.serveContent))
 	mux.HandleFunc("POST /v1/batches", g.as(g.serveCreateBatch))
@@ -99,7 +111,7 @@
 	mux.HandleFunc("GET /v1/batches/{batch}", g.as(g.serveBatch))
 	mux.HandleFunc("POST /v1/batches/{batch}/cancel", g.as(g.serveCancelBatch))
 	mux.HandleFunc("/services/{service}/{path...}", g.as(g.servePlain))
-	mux.HandleFunc("/", g.as(func(*caller) error { return errUnknownPath }))
+	mux.HandleFunc("/", g.as(g.serveNothing))
 	return mux
 }
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -9,6 +9,7 @@
 
 	"rhubarbrudder/internal/burn"
 	"rhubarbrudder/internal/call"
+	"rhubarbrudder/internal/dispatcher"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/gateway"
@@ -33,22 +34,30 @@
 		return err
 	}
 	tracker := endpoint.NewTracker()
-	reporter := steward.NewReporter(tracker, b.fleet, b.peers)
-	picker := endpoint.NewPicker(b.directory, tracker, s.VM.FailureDomain)
-	calls, err := newCalls(b)
-	if err != nil {
-		return err
-	}
+	reporter := steward.NewReporter(tracker, b.directory, b.fleet, b.peers)
+	picker := endpoint.NewPicker(b.directory, tracker, b.fleet)
 	counters := burn.NewCounters(time.Now)
 	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
 		return err
 	}
-	routes := router.New(picker, endpoint.NewClient(), reporter, stallOf(s), b.notes, b.log)
+	stall := router.Stall{
+		First:   time.Duration(s.Timing.FirstToken),
+		Between: time.Duration(s.Timing.Token),
+	}
+	calls := call.New(b.table, b.objects, b.peers, call.Owner{
+		Member:  b.self.ID(),
+		Address: b.self.Address,
+	}, b.log)
+	if err := b.server.Register("Call", call.NewService(calls)); err != nil {
+		return err
+	}
+	routes := router.New(picker, endpoint.NewClient(), reporter, stall, b.notes, b.log)
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
 		Router:   burn.NewWatch(routes, b.follower, counters),
 		Jobs:     b.jobs,
+		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Calls:    calls,
 		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
 		Log:      b.log,
@@ -71,18 +80,3 @@
 	calls.Wait(stored)
 	return nil
 }
-
-func newCalls(b *base) (*call.Calls, error) {
-	calls := call.New(b.table, b.objects, b.peers, call.Owner{
-		Member:  b.self.ID(),
-		Address: b.self.Address,
-	}, b.log)
-	return calls, b.server.Register("Call", call.NewService(calls))
-}
-
-func stallOf(s settings.Settings) router.Stall {
-	return router.Stall{
-		First:   time.Duration(s.Timing.FirstToken),
-		Between: time.Duration(s.Timing.Token),
-	}
-}
