Online requests wait fairly between organisations

Cause: a gateway sent everything on at once, and an engine admits requests as they come, so an organisation with many requests made the others wait behind all of them.

Now: internal/queue lets a request wait when the slots that peers leave free, or an even share of all slots if that is more, are taken by this gateway's own. Between organisations it is start-time fair queueing by weight and tokens asked for; within one, first come first served; at most 2000 waiting an organisation (429 queue_full) and QueueMilliseconds long (503 overloaded), both not run.

Not proved yet: the ratio with the real processes, and fairness between gateways that compete for the same slots, which have only the even share as a floor.

--- a/internal/endpoint/tracker.go
+++ b/internal/endpoint/tracker.go
@@ -75,6 +75,15 @@
 	s.heard.Store(t.now())
 }
 
+// PeersInFlight returns what other processes have in flight online at an endpoint, as was last heard.
+func (t *Tracker) PeersInFlight(id ID) int {
+	s := t.state(id)
+	if heard := s.heard.Load(); heard == 0 || t.now()-heard >= int64(fleetKept) {
+		return 0
+	}
+	return int(s.peers.Load())
+}
+
 const (
 	firstEjection = 500 * time.Millisecond
 	mostEjection  = 30 * time.Second
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -13,6 +13,7 @@
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/queue"
 	"rhubarbrudder/internal/request"
 )
 
@@ -113,6 +114,17 @@
 		return err
 	}
 	defer leave()
+	free, err := g.queue.Enter(c.r.Context(), queue.Place{
+		Service:      req.Service,
+		Organisation: req.Organisation,
+		Weight:       limit.Weight,
+		Cost:         float64(max(1, req.Shape.Tokens)),
+		Wait:         time.Duration(c.view.Services[req.Service].QueueMilliseconds) * time.Millisecond,
+	})
+	if err != nil {
+		return err
+	}
+	defer free()
 	if !req.Idempotent {
 		return g.callOnce(c, req)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/organisation"
+	"rhubarbrudder/internal/queue"
 	"rhubarbrudder/internal/request"
 	"rhubarbrudder/internal/router"
 )
@@ -57,6 +58,11 @@
 	Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error)
 }
 
+// Queue lets requests wait for slots.
+type Queue interface {
+	Enter(ctx context.Context, place queue.Place) (func(), error)
+}
+
 // Gateway serves callers.
 type Gateway struct {
 	document Document
@@ -65,6 +71,7 @@
 	jobs     Jobs
 	cancel   Canceller
 	calls    Calls
+	queue    Queue
 	limiter  Limiter
 	log      *slog.Logger
 }
@@ -77,6 +84,7 @@
 	Jobs     Jobs
 	Cancel   Canceller
 	Calls    Calls
+	Queue    Queue
 	Limiter  Limiter
 	Log      *slog.Logger
 }
@@ -90,6 +98,7 @@
 		jobs:     parts.Jobs,
 		cancel:   parts.Cancel,
 		calls:    parts.Calls,
+		queue:    parts.Queue,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -7,11 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
-	"time"
 
-	"rhubarbrudder/internal/call"
-	"rhubarbrudder/internal/job"
-	"rhubarbrudder/internal/organisation"
 	"rhubarbrudder/internal/request"
 )
 
@@ -77,47 +73,6 @@
 	return "server_error"
 }
 
-// retrySoon is how long a caller is asked to wait after a refusal for lack of room.
-const retrySoon = time.Second
-
-// refusalOf turns an error of a layer below into what the caller is told. Errors of the job store
-// come from before any item could run.
-func refusalOf(err error, ticket *request.Ticket) *request.Refusal {
-	var refusal *request.Refusal
-	if errors.As(err, &refusal) {
-		return ticket.Vouch(refusal)
-	}
-	switch {
-	case errors.Is(err, errNotFresh):
-		return ticket.Refuse(http.StatusServiceUnavailable, "cut_off", "this VM is cut off from the others and takes no new work", retrySoon)
-	case errors.Is(err, organisation.ErrNoKey), errors.Is(err, organisation.ErrWrongKey):
-		return ticket.Refuse(http.StatusUnauthorized, "invalid_api_key", "the key is missing or wrong", 0)
-	case errors.Is(err, organisation.ErrOverLimit):
-		return ticket.Refuse(http.StatusTooManyRequests, "rate_limit_exceeded", "the organisation is over its limit", retrySoon)
-	case errors.Is(err, request.ErrNotJSON), errors.Is(err, request.ErrNoModel), errors.Is(err, request.ErrNoMessages), errors.Is(err, request.ErrNoPrompt):
-		return ticket.Vouch(request.Invalid("invalid_body", err.Error()))
-	case errors.Is(err, job.ErrInput):
-		return ticket.Vouch(request.Invalid("invalid_file", err.Error()))
-	case errors.Is(err, job.ErrNotFound):
-		return ticket.Refuse(http.StatusNotFound, "not_found", "there is no such file or batch", 0)
-	case errors.Is(err, job.ErrKeyReused):
-		return ticket.Refuse(http.StatusConflict, "idempotency_key_reused", "the key was used with another request", 0)
-	case errors.Is(err, call.ErrKeyReused):
-		return ticket.Refuse(http.StatusUnprocessableEntity, "idempotency_key_reused", "the key was used with another request", 0)
-	case errors.Is(err, call.ErrInProgress):
-		return request.Unknown(http.StatusConflict, "call_in_progress", "an earlier request with the key is running", retrySoon)
-	case errors.Is(err, call.ErrOutcomeUnknown):
-		return request.Unknown(http.StatusConflict, "outcome_unknown", "an earlier request with the key may have run; its answer is lost, and it is not run again", 0)
-	case errors.Is(err, call.ErrUnavailable):
-		return ticket.Refuse(http.StatusServiceUnavailable, "store_unavailable", "this request can't be recorded now; whether an earlier one with the key ran can't be told", retrySoon)
-	case errors.Is(err, job.ErrUnknown):
-		return request.Unknown(http.StatusServiceUnavailable, "outcome_unknown", "it is not known whether the request was accepted; send it again with the same Idempotency-Key", retrySoon)
-	case errors.Is(err, job.ErrUnavailable):
-		return ticket.Refuse(http.StatusServiceUnavailable, "store_unavailable", "the request can't be accepted now", retrySoon)
-	}
-	return request.Unknown(http.StatusInternalServerError, "internal_error", "the request failed", 0)
-}
-
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -14,6 +14,7 @@
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/gateway"
 	"rhubarbrudder/internal/organisation"
+	"rhubarbrudder/internal/queue"
 	"rhubarbrudder/internal/router"
 	"rhubarbrudder/internal/settings"
 	"rhubarbrudder/internal/steward"
@@ -52,6 +53,7 @@
 		return err
 	}
 	routes := router.New(picker, endpoint.NewClient(), reporter, stall, b.notes, b.log)
+	waiting := queue.New(queue.NewSlots(b.directory, tracker, b.fleet, b.follower))
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
@@ -59,6 +61,7 @@
 		Jobs:     b.jobs,
 		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Calls:    calls,
+		Queue:    waiting,
 		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
 		Log:      b.log,
 	})
@@ -67,6 +70,7 @@
 		return err
 	}
 	add(group, reporter.Run)
+	add(group, waiting.Run)
 	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Caller), served.Handler()); err != nil {
 		return err
 	}
