Fleet: heartbeats to a few successors instead of to everybody

Cause: every process called every other each half second, so the cost of a node grew with the fleet; one missed line made a member lost; a process that can call but not be called counted as alive.

Each process now watches three successors on a ring (more while they do not answer), two watchers must agree before a member is lost, news travels with the heartbeats to successors and to three members far off on the ring, digests in 64 buckets are compared every 20 heartbeats, and a doubted member comes back by raising its sequence, which only a call that reaches it lets it do. A replaced process is another member; leaving is sticky.

Ruled out: counters gossiped to all (36 KB a message at 6,000 processes), and one heartbeat per pair of VMs (a process that dies alone would need a watcher of its own).

Seen failing with the mechanism off: one watcher suffices: TestOneCutLineLosesNobody; watch not widened: TestMajority/a_third; no refuting: TestFaults silent and parted for a while; answers refute: TestFaults not reachable but heard; listed strangers not tried: seven cases of TestFaults.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,53 +1,23 @@
 // Package fleet knows the VMs and processes of the system that are alive.
+//
+// Each process exchanges heartbeats with a few successors on a ring of all processes, whatever the fleet's size. One
+// that several of its watchers find silent is lost; it comes back by raising its sequence number. Joining, leaving and
+// suspicion travel with the heartbeats, and neighbours compare what they know from time to time.
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"net"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"rhubarbrudder/internal/platform"
 )
 
-// Role says what a process does.
-type Role string
-
-const (
-	// RoleGateway serves callers.
-	RoleGateway Role = "Gateway"
-	// RoleDispatcher runs batch jobs.
-	RoleDispatcher Role = "Dispatcher"
-	// RoleController serves operators.
-	RoleController Role = "Controller"
-)
-
-// Roles lists the roles.
-func Roles() []Role {
-	return []Role{RoleGateway, RoleDispatcher, RoleController}
-}
-
-// Member is a process of the system.
-type Member struct {
-	Role          Role
-	VM            platform.VMName
-	Incarnation   string
-	Address       string
-	Region        platform.Region
-	FailureDomain platform.FailureDomain
-}
-
-// ID names the member's incarnation.
-func (m Member) ID() string {
-	return string(m.Role) + "/" + string(m.VM) + "/" + m.Incarnation
-}
-
 // Lister reads the platform's VM list.
 type Lister interface {
 	VMs(ctx context.Context) ([]platform.VM, error)
@@ -68,29 +38,43 @@
 	lister Lister
 	caller Caller
 	log    *slog.Logger
-	mu     sync.RWMutex
-	listed []platform.VM
-	alive  map[string]heartbeat
-	leave  map[string]bool
 	onList []func([]platform.VM)
-}
-
-type heartbeat struct {
-	member Member
-	heard  time.Time
+	// kick makes the next heartbeat go out at once.
+	kick   chan struct{}
+	roster atomic.Pointer[roster]
+
+	mu       sync.Mutex
+	sequence Sequence
+	leaving  bool
+	silence  time.Duration
+	listed   []platform.VM
+	unknown  []string
+	records  map[ID]*record
+	rumours  []*rumour
+	// suspected are the members that someone finds silent.
+	suspected map[ID]*record
+	// probes are doubted members that sent a heartbeat, with their addresses.
+	probes map[ID]string
+	// answered is when a process of another VM last answered.
+	answered time.Time
 }
 
 // New returns a fleet seen from the member self.
 func New(self Member, ports Ports, lister Lister, caller Caller, log *slog.Logger) *Fleet {
-	return &Fleet{
-		self:   self,
-		ports:  ports,
-		lister: lister,
-		caller: caller,
-		log:    log,
-		alive:  map[string]heartbeat{},
-		leave:  map[string]bool{},
+	f := &Fleet{
+		self:      self,
+		ports:     ports,
+		lister:    lister,
+		caller:    caller,
+		log:       log,
+		kick:      make(chan struct{}, 1),
+		silence:   defaultSilence,
+		records:   map[ID]*record{},
+		probes:    map[ID]string{},
+		suspected: map[ID]*record{},
 	}
+	f.rebuild()
+	return f
 }
 
 // Self returns the member this process is.
@@ -110,112 +94,85 @@
 		return err
 	}
 	f.mu.Lock()
-	f.listed = vms
+	if !slices.Equal(vms, f.listed) {
+		f.listed = vms
+		f.findUnknown()
+	}
+	f.prune()
 	f.mu.Unlock()
+	f.leavingVMs(vms)
 	for _, do := range f.onList {
 		do(vms)
 	}
 	return nil
 }
 
-// suspectAfter is how many periods without a heartbeat make a member dead.
-const suspectAfter = 4
-
 // Run reads the VM list and exchanges heartbeats until ctx ends.
 func (f *Fleet) Run(ctx context.Context, listPeriod, heartbeatPeriod time.Duration) error {
-	list := time.NewTicker(listPeriod)
-	defer list.Stop()
+	f.mu.Lock()
+	f.silence = suspectAfter * heartbeatPeriod
+	f.mu.Unlock()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		f.follow(ctx, listPeriod)
+	})
 	beat := time.NewTicker(heartbeatPeriod)
 	defer beat.Stop()
-	for {
+	for round := 0; ; round++ {
+		f.beat(ctx, heartbeatPeriod)
+		if round%compareRounds == 0 {
+			group.Go(func() {
+				f.compare(ctx)
+			})
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-list.C:
-			if err := f.Refresh(ctx); err != nil && ctx.Err() == nil {
-				f.log.Warn("vm list unreadable", "err", err)
-			}
+		case <-f.kick:
 		case <-beat.C:
-			f.beat(ctx, heartbeatPeriod)
 		}
 	}
 }
 
-// Beat is a heartbeat; it carries who is leaving.
-type Beat struct {
-	From    Member
-	Leaving []string
-}
-
-// MethodBeat is the name of the heartbeat's method.
-const MethodBeat = "Fleet.Beat"
-
-func (f *Fleet) beat(ctx context.Context, period time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, period)
-	defer cancel()
-	var group sync.WaitGroup
-	for _, member := range f.Listed() {
-		if member.Address == f.self.Address {
-			continue
-		}
-		group.Go(func() {
-			var answer Beat
-			err := f.caller.Call(ctx, member.Address, MethodBeat, f.ownBeat(), &answer)
-			if err == nil {
-				f.heard(answer)
+// follow reads the VM list every period, in a loop of its own: a slow list must not delay heartbeats.
+func (f *Fleet) follow(ctx context.Context, period time.Duration) {
+	list := time.NewTicker(period)
+	defer list.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-list.C:
+			if err := f.Refresh(ctx); err != nil && ctx.Err() == nil {
+				f.log.Warn("vm list unreadable", "err", err)
 			}
-		})
-	}
-	group.Wait()
-	f.expire(suspectAfter * period)
-}
-
-func (f *Fleet) ownBeat() Beat {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	beat := Beat{
-		From: f.self,
-	}
-	for id := range f.leave {
-		beat.Leaving = append(beat.Leaving, id)
-	}
-	return beat
-}
-
-func (f *Fleet) heard(beat Beat) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.alive[beat.From.ID()] = heartbeat{
-		member: beat.From,
-		heard:  time.Now(),
-	}
-	for _, id := range beat.Leaving {
-		f.leave[id] = true
+		}
 	}
 }
 
-func (f *Fleet) expire(after time.Duration) {
+// Leave marks this process as leaving; peers hear of it at once.
+func (f *Fleet) Leave() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	for id, beat := range f.alive {
-		if time.Since(beat.heard) > after {
-			f.log.Info("member lost", "member", id)
-			delete(f.alive, id)
-		}
+	f.leaving = true
+	f.spread(f.selfNews())
+	f.rebuild()
+	f.mu.Unlock()
+	select {
+	case f.kick <- struct{}{}:
+	default:
 	}
 }
 
-// Leave marks this process as leaving; peers hear of it with the next heartbeat.
-func (f *Fleet) Leave() {
+// Listed returns every process that the VM list lets expect.
+func (f *Fleet) Listed() []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.leave[f.self.ID()] = true
+	return f.expected()
 }
 
-// Listed returns every process that the VM list lets expect.
-func (f *Fleet) Listed() []Member {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+// expected needs the lock.
+func (f *Fleet) expected() []Member {
 	var members []Member
 	for _, vm := range f.listed {
 		if vm.Service != "" {
@@ -235,54 +192,56 @@
 	return members
 }
 
-// Alive returns the processes of a role that were heard lately and do not leave, this one among them, in order of their ids.
+// Alive returns the processes of a role that are neither lost nor leaving, this one among them, in order of their ids.
+// The caller must not change it.
 func (f *Fleet) Alive(role Role) []Member {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	var members []Member
-	if f.self.Role == role && !f.leave[f.self.ID()] {
-		members = append(members, f.self)
-	}
-	for id, beat := range f.alive {
-		if beat.member.Role == role && !f.leave[id] {
-			members = append(members, beat.member)
-		}
-	}
-	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Compare(a.ID(), b.ID())
-	})
-	return members
-}
-
-// Owner returns the member with the highest rendezvous weight for the name, and whether there is any.
-func Owner(members []Member, name string) (Member, bool) {
-	var owner Member
-	var highest uint64
-	found := false
-	for _, member := range members {
-		weight := xxhash.Sum64String(member.ID() + "\x00" + name)
-		if !found || weight > highest {
-			owner, highest, found = member, weight, true
-		}
-	}
-	return owner, found
+	return f.roster.Load().byRole[role]
 }
 
-// Service answers heartbeats over net/rpc.
-type Service struct {
-	fleet *Fleet
+// Count returns how many processes the fleet has, this one among them.
+func (f *Fleet) Count() int {
+	return len(f.roster.Load().ring)
 }
 
-// NewService returns the service of a fleet, to be registered as "Fleet".
-func NewService(fleet *Fleet) *Service {
-	return &Service{
-		fleet: fleet,
+// Neighbours returns the addresses of the few peers that this process exchanges with: its successor on the ring, which
+// keeps the graph whole, and others at places drawn by hashing, which keep it narrow and change with few members.
+func (f *Fleet) Neighbours() []string {
+	var addresses []string
+	for _, p := range f.roster.Load().neighbours(f.self) {
+		addresses = append(addresses, p.member.Address)
 	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, member := range f.Listed() {
+		if member.Address != f.self.Address {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
 }
 
-// Beat takes a heartbeat and answers with one.
-func (s *Service) Beat(args Beat, reply *Beat) error {
-	s.fleet.heard(args)
-	*reply = s.fleet.ownBeat()
-	return nil
+// Majority reports whether more than half of the listed VMs, this one among them, are alive, and whether another VM
+// answered within the time.
+func (f *Fleet) Majority(within time.Duration) bool {
+	present := map[platform.VMName]bool{
+		f.self.VM: true,
+	}
+	for _, entry := range f.roster.Load().ring {
+		present[entry.member.VM] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed, heard := 0, 0
+	for _, vm := range f.listed {
+		if vm.Service != "" {
+			continue
+		}
+		listed++
+		if present[vm.Name] {
+			heard++
+		}
+	}
+	connected := listed == 1 || time.Since(f.answered) < within
+	return 2*heard > listed && connected
 }
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,391 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/platform"
+)
+
+const beatPeriod = 500 * time.Millisecond
+
+// network carries calls between fleets in memory and can be cut in each direction.
+type network struct {
+	mu       sync.Mutex
+	vms      []platform.VM
+	services map[string]*fleet.Service
+	cut      func(from, to string) bool
+	calls    int
+	// bytes counts what gob makes of the messages on lasting connections; it is nil if that is not wanted.
+	bytes    *counter
+	encoders map[string]*gob.Encoder
+}
+
+type counter struct {
+	count int
+}
+
+func (c *counter) Write(data []byte) (int, error) {
+	c.count += len(data)
+	return len(data), nil
+}
+
+func (n *network) VMs(context.Context) ([]platform.VM, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.vms, nil
+}
+
+func (n *network) count(connection string, message any) {
+	if n.bytes == nil {
+		return
+	}
+	encoder := n.encoders[connection]
+	if encoder == nil {
+		encoder = gob.NewEncoder(n.bytes)
+		n.encoders[connection] = encoder
+	}
+	_ = encoder.Encode(message)
+}
+
+// line is one process's way into the network.
+type line struct {
+	network *network
+	from    string
+}
+
+var errCut = errors.New("cut")
+
+func (l line) Call(ctx context.Context, address, method string, args, reply any) error {
+	l.network.mu.Lock()
+	l.network.calls++
+	service := l.network.services[address]
+	cut := l.network.cut != nil && l.network.cut(l.from, address)
+	l.network.count(l.from+address, args)
+	l.network.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return errCut
+	}
+	if service == nil {
+		return errCut
+	}
+	if method == fleet.MethodBeat {
+		if err := service.Beat(args.(fleet.Beat), reply.(*fleet.Beat)); err != nil {
+			return err
+		}
+	} else if err := service.Compare(args.(fleet.Records), reply.(*fleet.Records)); err != nil {
+		return err
+	}
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	l.network.count(address+l.from, reply)
+	return nil
+}
+
+func vmAt(i int) platform.VM {
+	return platform.VM{
+		Name:        platform.VMName(fmt.Sprintf("vm-%d", i)),
+		Incarnation: "1",
+		Address:     fmt.Sprintf("10.0.%d.%d", i/250, i%250),
+		State:       platform.VMLive,
+	}
+}
+
+// addressOf returns the address of the gateway of a VM, the only role of these tests.
+func addressOf(i int) string {
+	return vmAt(i).Address + ":7101"
+}
+
+// world is a network and the processes that run in it.
+type world struct {
+	*network
+	fleets []*fleet.Fleet
+	stops  []context.CancelFunc
+	all    context.Context
+	group  sync.WaitGroup
+}
+
+func newWorld(ctx context.Context, size int) *world {
+	w := &world{
+		network: &network{
+			services: map[string]*fleet.Service{},
+			encoders: map[string]*gob.Encoder{},
+		},
+		fleets: make([]*fleet.Fleet, size),
+		stops:  make([]context.CancelFunc, size),
+		all:    ctx,
+	}
+	for i := range size {
+		w.vms = append(w.vms, vmAt(i))
+	}
+	for i := range size {
+		w.start(i, "first")
+	}
+	return w
+}
+
+func (w *world) start(i int, incarnation string) {
+	made := fleet.New(fleet.Member{
+		Role:        fleet.RoleGateway,
+		VM:          vmAt(i).Name,
+		Incarnation: incarnation,
+		Address:     addressOf(i),
+	}, fleet.Ports{fleet.RoleGateway: 7101}, w, line{
+		network: w.network,
+		from:    addressOf(i),
+	}, slog.New(slog.DiscardHandler))
+	ctx, stop := context.WithCancel(w.all)
+	w.fleets[i], w.stops[i] = made, stop
+	w.mu.Lock()
+	w.services[addressOf(i)] = fleet.NewService(made)
+	w.mu.Unlock()
+	w.group.Go(func() {
+		_ = made.Refresh(ctx)
+		_ = made.Run(ctx, time.Second, beatPeriod)
+	})
+}
+
+func (w *world) kill(i int) {
+	w.stops[i]()
+	w.mu.Lock()
+	delete(w.services, addressOf(i))
+	w.mu.Unlock()
+}
+
+func (w *world) setCut(cut func(from, to string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// sees returns the VMs that a process holds for alive.
+func (w *world) sees(i int) []string {
+	var names []string
+	for _, member := range w.fleets[i].Alive(fleet.RoleGateway) {
+		names = append(names, string(member.VM)+"/"+member.Incarnation)
+	}
+	return names
+}
+
+// inWorld runs a test with fake time.
+func inWorld(t *testing.T, size int, test func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(ctx, size)
+		time.Sleep(10 * time.Second)
+		test(t, w)
+		cancel()
+		w.group.Wait()
+	})
+}
+
+func among(i int, addresses ...int) func(from, to string) bool {
+	return func(from, to string) bool {
+		return to == addressOf(i) && (len(addresses) == 0 || slices.ContainsFunc(addresses, func(a int) bool { return from == addressOf(a) }))
+	}
+}
+
+// TestFaults shows which members the others hold for alive some seconds after a fault.
+func TestFaults(t *testing.T) {
+	const size = 12
+	all := func(w *world, except ...string) []string {
+		var names []string
+		for i := range size {
+			name := fmt.Sprintf("vm-%d/first", i)
+			if !slices.Contains(except, name) {
+				names = append(names, name)
+			}
+		}
+		slices.Sort(names)
+		return names
+	}
+	cases := map[string]struct {
+		fault func(w *world)
+		gone  []string
+		come  []string
+	}{
+		"none": {
+			fault: func(*world) { time.Sleep(10 * time.Minute) },
+		},
+		"killed": {
+			fault: func(w *world) { w.kill(3) },
+			gone:  []string{"vm-3/first"},
+		},
+		"three killed": {
+			fault: func(w *world) { w.kill(3); w.kill(4); w.kill(5) },
+			gone:  []string{"vm-3/first", "vm-4/first", "vm-5/first"},
+		},
+		"leaving": {
+			fault: func(w *world) { w.fleets[3].Leave() },
+			gone:  []string{"vm-3/first"},
+		},
+		"replaced under the same address": {
+			fault: func(w *world) { w.kill(3); w.start(3, "second") },
+			gone:  []string{"vm-3/first"},
+			come:  []string{"vm-3/second"},
+		},
+		"not reachable but heard": {
+			fault: func(w *world) { w.setCut(among(3)) },
+			gone:  []string{"vm-3/first"},
+		},
+		"silent for a while": {
+			fault: func(w *world) {
+				w.setCut(func(from, to string) bool { return from == addressOf(3) || to == addressOf(3) })
+				time.Sleep(20 * time.Second)
+				w.setCut(nil)
+			},
+		},
+		"parted for a while": {
+			fault: func(w *world) {
+				w.setCut(func(from, to string) bool { return (from < addressOf(3)) != (to < addressOf(3)) })
+				time.Sleep(time.Minute)
+				w.setCut(nil)
+			},
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, size, func(t *testing.T, w *world) {
+				tt.fault(w)
+				time.Sleep(8 * time.Second)
+				want := append(all(w, tt.gone...), tt.come...)
+				slices.Sort(want)
+				for i := range size {
+					if slices.Contains(tt.gone, fmt.Sprintf("vm-%d/first", i)) && len(tt.come) == 0 {
+						continue
+					}
+					assert.DeepEqual(t, w.sees(i), want)
+				}
+			})
+		})
+	}
+}
+
+// TestOneCutLineLosesNobody cuts each member's line to one other in turn.
+func TestOneCutLineLosesNobody(t *testing.T) {
+	const size = 12
+	inWorld(t, size, func(t *testing.T, w *world) {
+		for i := range size {
+			if i == 3 {
+				continue
+			}
+			w.setCut(among(3, i))
+			time.Sleep(6 * time.Second)
+			for j := range size {
+				assert.Equal(t, len(w.sees(j)), size, "process %d, with the line from %d to 3 cut", j, i)
+			}
+		}
+	})
+}
+
+// TestMajority parts a fleet and looks at which side holds itself for the majority.
+func TestMajority(t *testing.T) {
+	const size = 60
+	cases := map[string]int{
+		"one alone": 1,
+		"a tenth":   6,
+		"a third":   20,
+	}
+	for name, minority := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, size, func(t *testing.T, w *world) {
+				inside := func(address string) bool {
+					return slices.ContainsFunc(w.vms[:minority], func(vm platform.VM) bool { return strings.HasPrefix(address, vm.Address+":") })
+				}
+				w.setCut(func(from, to string) bool { return inside(from) != inside(to) })
+				time.Sleep(8 * time.Second)
+				for i := range size {
+					assert.Equal(t, w.fleets[i].Majority(8*time.Second), i >= minority, "process %d", i)
+				}
+			})
+		})
+	}
+}
+
+// TestCostIsFlat counts the calls of a quiet fleet.
+func TestCostIsFlat(t *testing.T) {
+	perProcess := func(size int) float64 {
+		const rounds = 100
+		var calls int
+		inWorld(t, size, func(_ *testing.T, w *world) {
+			time.Sleep(20 * time.Second)
+			before := w.calls
+			time.Sleep(rounds * beatPeriod)
+			calls = w.calls - before
+		})
+		return float64(calls) / float64(size) / rounds
+	}
+	small, large := perProcess(12), perProcess(300)
+	assert.Assert(t, large < 1.1*small, "%.2f calls a heartbeat at 300 processes, %.2f at 12", large, small)
+}
+
+// TestOwnershipMovesLittle takes one member of many away.
+func TestOwnershipMovesLittle(t *testing.T) {
+	var members []fleet.Member
+	for i := range 50 {
+		members = append(members, fleet.Member{
+			VM: vmAt(i).Name,
+		})
+	}
+	fewer := slices.Concat(members[:20], members[21:])
+	for i := range 2000 {
+		name := fmt.Sprintf("name-%d", i)
+		before, _ := fleet.Owner(members, name)
+		after, _ := fleet.Owner(fewer, name)
+		assert.Assert(t, before == after || before == members[20])
+	}
+}
+
+// BenchmarkQuietFleet reports what a heartbeat period costs a process at each size.
+func BenchmarkQuietFleet(b *testing.B) {
+	for _, size := range []int{12, 48, 200, 600} {
+		b.Run(fmt.Sprintf("processes=%d", size), func(b *testing.B) {
+			synctestRun(b, size)
+		})
+	}
+}
+
+func synctestRun(b *testing.B, size int) {
+	const rounds = 40
+	b.StopTimer()
+	// The bubble needs a T of its own; its clock is not the benchmark's.
+	synctest.Test(&testing.T{}, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(ctx, size)
+		time.Sleep(20 * time.Second)
+		w.mu.Lock()
+		w.bytes = &counter{}
+		w.mu.Unlock()
+		time.Sleep(rounds * beatPeriod)
+		before, cpu := w.bytes.count, processorTime()
+		time.Sleep(rounds * beatPeriod)
+		periods := float64(size * rounds)
+		b.ReportMetric(float64(w.bytes.count-before)/periods/beatPeriod.Seconds(), "bytes/s/process")
+		b.ReportMetric(float64(processorTime()-cpu)/periods/float64(beatPeriod)*100, "%core/process")
+		cancel()
+		w.group.Wait()
+	})
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+var _ io.Writer = &counter{}
