--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -18,7 +19,10 @@
 
 // Client sends requests to endpoints.
 type Client struct {
-	http *http.Client
+	// kept keeps connections open between requests; its transport may repeat a request by itself.
+	kept *http.Client
+	// fresh opens a connection for each request, on which the transport never repeats one.
+	fresh *http.Client
 }
 
 const (
@@ -27,23 +31,29 @@
 	idleTimeout     = 90 * time.Second
 )
 
-// NewClient returns a client whose connections to endpoints are kept open between requests.
+// NewClient returns a client whose connections to endpoints are kept open between requests that may be repeated.
 func NewClient() *Client {
+	return &Client{
+		kept:  newHTTPClient(true),
+		fresh: newHTTPClient(false),
+	}
+}
+
+func newHTTPClient(keep bool) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 	}
-	return &Client{
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				MaxIdleConns:        0,
-				MaxIdleConnsPerHost: idleConnections,
-				IdleConnTimeout:     idleTimeout,
-				DisableCompression:  true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error {
-				return http.ErrUseLastResponse
-			},
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableKeepAlives:   !keep,
+			MaxIdleConns:        0,
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
 		},
 	}
 }
@@ -64,21 +74,28 @@
 // Send sends the request with the body to the endpoint. Cancelling ctx cancels the request at the endpoint.
 // ErrNotSent means that not a byte went out.
 func (c *Client) Send(ctx context.Context, target Endpoint, r request.Request, body []byte) (*Answer, error) {
-	base := sling.New().Client(c.http).Base("http://" + target.Address)
-	req, err := base.Path(r.Path).Body(bytes.NewReader(body)).Request()
+	at, err := url.ParseRequestURI(r.Path)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	req, err := sling.New().Base("http://" + target.Address).Body(bytes.NewReader(body)).Request()
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	req = req.WithContext(ctx)
+	// Resolving the path against the base could change the host.
+	at.Scheme = req.URL.Scheme
+	at.Host = req.URL.Host
+	req.URL = at
 	req.Method = r.Method
 	copyHeader(req.Header, r.Header)
 	req.Header.Set(HeaderRequestID, string(r.ID))
 	req.Header.Set(HeaderClass, string(r.Class))
+	client := c.kept
 	if !r.Idempotent {
-		// Without GetBody the transport never sends a request twice by itself.
-		req.GetBody = nil
+		client = c.fresh
 	}
-	response, err := c.http.Do(req)
+	response, err := client.Do(req)
 	if err != nil {
 		return nil, sendError(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,11 @@
 	Lots(ctx context.Context, id job.ID) ([]job.LotRow, error)
 }
 
+// Canceller tells the dispatchers that a job was cancelled.
+type Canceller interface {
+	Cancel(id job.ID)
+}
+
 // Limiter holds organisations to their limits.
 type Limiter interface {
 	Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error)
@@ -56,6 +61,8 @@
 	members  Members
 	router   Router
 	jobs     Jobs
+	cancel   Canceller
+	calls    Calls
 	limiter  Limiter
 	log      *slog.Logger
 }
@@ -66,6 +73,8 @@
 	Members  Members
 	Router   Router
 	Jobs     Jobs
+	Cancel   Canceller
+	Calls    Calls
 	Limiter  Limiter
 	Log      *slog.Logger
 }
@@ -77,6 +86,8 @@
 		members:  parts.Members,
 		router:   parts.Router,
 		jobs:     parts.Jobs,
+		cancel:   parts.Cancel,
+		calls:    parts.Calls,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
 	}
@@ -96,6 +107,7 @@
 	mux.HandleFunc("GET /v1/batches/{batch}", g.as(g.serveBatch))
 	mux.HandleFunc("POST /v1/batches/{batch}/cancel", g.as(g.serveCancelBatch))
 	mux.HandleFunc("/services/{service}/{path...}", g.as(g.servePlain))
+	mux.HandleFunc("/", g.as(func(*caller) error { return errUnknownPath }))
 	return mux
 }
 
@@ -104,6 +116,7 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	id           request.ID
+	ticket       *request.Ticket
 	organisation document.OrganisationID
 	view         *document.View
 }
@@ -113,10 +126,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		view, fresh := g.document.Fresh()
 		c := &caller{
-			w:    w,
-			r:    r,
-			id:   request.NewID(),
-			view: view,
+			w:      w,
+			r:      r,
+			id:     request.NewID(),
+			ticket: &request.Ticket{},
+			view:   view,
 		}
 		w.Header().Set(endpoint.HeaderRequestID, string(c.id))
 		if !fresh {
