--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,8 @@
 	// kick makes the next heartbeat go out at once.
 	kick   chan struct{}
 	roster atomic.Pointer[roster]
+	// version grows with each change of the roster.
+	version atomic.Uint64
 
 	mu       sync.Mutex
 	sequence Sequence
@@ -207,6 +209,11 @@
 	return f.roster.Load().byRole[role]
 }
 
+// Version grows whenever the members alive change.
+func (f *Fleet) Version() uint64 {
+	return f.version.Load()
+}
+
 // Count returns how many processes the fleet has, this one among them.
 func (f *Fleet) Count() int {
 	return len(f.roster.Load().ring)
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -57,6 +57,7 @@
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
 	})
 	f.roster.Store(next)
+	f.version.Add(1)
 	f.findUnknown()
 }
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -23,7 +23,6 @@
 	errBodyTooLarge   = request.Reject(http.StatusRequestEntityTooLarge, "body_too_large", "the body is too large")
 	errUnknownModel   = request.Reject(http.StatusNotFound, "model_not_found", "no service serves the model")
 	errUnknownService = request.Reject(http.StatusNotFound, "service_not_found", "there is no such service")
-	errUnknownPath    = request.Reject(http.StatusNotFound, "not_found", "there is no such path or method")
 	errStreamedCall   = errors.New("gateway: a call's answer was streamed")
 	errBegun          = errors.New("gateway: answer broke off after it had begun")
 )
--- a/test/steward_leaving_test.go
+++ b/test/steward_leaving_test.go
@@ -26,6 +26,7 @@
 	options.engines = 3
 	options.roles = []fleet.Role{fleet.RoleGateway, fleet.RoleDispatcher}
 	options.lag = time.Minute
+	options.engine.Slots = 16
 	options.policy.LotItems = 5
 	options.customise = func(s *settings.Settings) {
 		s.Platform.VMListURL += "?reader=" + string(s.VM.Name)
