Metrics of requests, refusals, first tokens, platform calls, revision and members

Cause: /metrics was empty. A handler around the callers' and the operators' servers counts requests by pattern and status, and refusals by code and by whether they ran (the code is now a header too); a transport counts the calls to the platform by operation and outcome, telling calls that never arrived from those that may have; gauges give the revision in force and the members alive; Go's and the process's own collectors are served with them. Organisations are no labels: 39,000 of them would make the series unbounded; they are in the burn report.

TestMetrics reads the three kinds of process, and sees readiness go off while liveness and requests go on. Seen failing first: without the refusal's code TestMetrics/gateway; without readiness going off at shutdown, TestMetrics.

Not there yet: lots and items by outcome.

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -12,10 +12,11 @@
 	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/organisation"
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/telemetry"
 )
 
 // headerOutcome tells a refused caller whether its request ran.
-const headerOutcome = "Rhubarbrudder-Outcome"
+const headerOutcome = telemetry.HeaderOutcome
 
 var (
 	errBodyTooLarge = request.Invalid("body_too_large", "the body is too large")
@@ -50,6 +51,7 @@
 	g.log.Info("request refused", "request", c.id, "organisation", c.organisation, "code", refusal.Code, "outcome", refusal.Outcome(), "err", err)
 	header := c.w.Header()
 	header.Set(headerOutcome, refusal.Outcome())
+	header.Set(telemetry.HeaderCode, refusal.Code)
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -69,11 +69,15 @@
 	if err != nil {
 		return nil, err
 	}
+	transport, err := telemetry.NewPlatformCalls(status.Meter(), &http.Transport{
+		MaxIdleConnsPerHost: platformConnections,
+		IdleConnTimeout:     time.Minute,
+	})
+	if err != nil {
+		return nil, err
+	}
 	client := &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: platformConnections,
-			IdleConnTimeout:     time.Minute,
-		},
+		Transport: transport,
 	}
 	b := &base{
 		settings:  s,
@@ -117,7 +121,7 @@
 	if err := b.server.Register("Explain", explain.NewService(b.notes)); err != nil {
 		return nil, err
 	}
-	return b, nil
+	return b, b.observe()
 }
 
 // platformConnections is how many idle connections to the platform are kept.
@@ -152,9 +156,13 @@
 	if err != nil {
 		return startError(err)
 	}
+	requests, err := telemetry.NewRequests(b.status.Meter())
+	if err != nil {
+		return startError(err)
+	}
 	server := &graceful{
 		server: &http.Server{
-			Handler:           handler,
+			Handler:           requests.Wrap(handler),
 			ReadHeaderTimeout: headerTimeout,
 		},
 		done: make(chan struct{}),
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -35,13 +35,17 @@
 	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
 		return err
 	}
+	observer, err := newFirstTokens(b.status.Meter(), counters)
+	if err != nil {
+		return err
+	}
 	routes := router.New(picker, endpoint.NewClient(), reporter, b.notes, b.log)
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
-		Router:   burn.NewWatch(routes, b.follower, counters),
+		Router:   burn.NewWatch(routes, b.follower, observer),
 		Jobs:     b.jobs,
-		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
+		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), observer),
 		Log:      b.log,
 	})
 	group := &run.Group{}
--- /dev/null
+++ b/internal/telemetry/platform.go
@@ -0,0 +1,59 @@
+package telemetry
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+const (
+	// headerTarget names the table's operation, after a prefix that ends with a dot.
+	headerTarget = "X-Amz-Target"
+	// outcomeUnavailable and outcomeUnknown tell a call that never arrived from one that may have.
+	outcomeUnavailable = "unavailable"
+	outcomeUnknown     = "unknown"
+)
+
+// PlatformCalls is a transport that counts the calls to the platform.
+type PlatformCalls struct {
+	next  http.RoundTripper
+	calls metric.Int64Counter
+}
+
+// NewPlatformCalls returns a transport that counts the calls of another at the meter.
+func NewPlatformCalls(meter metric.Meter, next http.RoundTripper) (*PlatformCalls, error) {
+	calls, err := meter.Int64Counter("rhubarbrudder.platform.calls", metric.WithDescription("Calls to the platform by operation and outcome; table transactions are TransactWriteItems."))
+	return &PlatformCalls{
+		next:  next,
+		calls: calls,
+	}, err
+}
+
+// RoundTrip sends the request and counts it.
+func (p *PlatformCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := p.next.RoundTrip(r)
+	outcome := outcomeUnknown
+	var op *net.OpError
+	switch {
+	case err == nil:
+		outcome = strconv.Itoa(response.StatusCode)
+	case errors.As(err, &op) && op.Op == "dial":
+		outcome = outcomeUnavailable
+	}
+	p.calls.Add(r.Context(), 1, metric.WithAttributes(attribute.String("operation", operation(r)), attribute.String("outcome", outcome)))
+	return response, err
+}
+
+// operation names the table's operation, or the method of another service.
+func operation(r *http.Request) string {
+	target := r.Header.Get(headerTarget)
+	if target == "" {
+		return r.Method
+	}
+	return target[strings.LastIndexByte(target, '.')+1:]
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
@@ -36,6 +37,7 @@
 // NewStatus returns the status of a process that is not ready yet.
 func NewStatus(role string) (*Status, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reader, err := exporter.New(exporter.WithRegisterer(registry))
 	if err != nil {
 		return nil, err
