--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,11 @@
 	Lots(ctx context.Context, id job.ID) ([]job.LotRow, error)
 }
 
+// Canceller tells the dispatchers that a job was cancelled.
+type Canceller interface {
+	Cancel(id job.ID)
+}
+
 // Limiter holds organisations to their limits.
 type Limiter interface {
 	Enter(id document.OrganisationID, limit document.Organisation, gateways int) (func(), error)
@@ -58,6 +63,8 @@
 	members  Members
 	router   Router
 	jobs     Jobs
+	cancel   Canceller
+	calls    Calls
 	limiter  Limiter
 	log      *slog.Logger
 }
@@ -68,6 +75,8 @@
 	Members  Members
 	Router   Router
 	Jobs     Jobs
+	Cancel   Canceller
+	Calls    Calls
 	Limiter  Limiter
 	Log      *slog.Logger
 }
@@ -79,6 +88,8 @@
 		members:  parts.Members,
 		router:   parts.Router,
 		jobs:     parts.Jobs,
+		cancel:   parts.Cancel,
+		calls:    parts.Calls,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
 	}
@@ -109,6 +120,7 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	id           request.ID
+	ticket       *request.Ticket
 	organisation document.OrganisationID
 	view         *document.View
 }
@@ -118,10 +130,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		view, fresh := g.document.Fresh()
 		c := &caller{
-			w:    w,
-			r:    r,
-			id:   request.NewID(),
-			view: view,
+			w:      w,
+			r:      r,
+			id:     request.NewID(),
+			ticket: &request.Ticket{},
+			view:   view,
 		}
 		w.Header().Set(endpoint.HeaderRequestID, string(c.id))
 		if !fresh {
--- a/internal/job/lookup.go
+++ b/internal/job/lookup.go
@@ -12,9 +12,9 @@
 	if err != nil {
 		return Job{}, 0, err
 	}
-	counts, done, _ := Tally(lots)
+	tally := TallyOf(lots)
 	if !found.State.Ended() {
-		found.Counts = counts
+		found.Counts = tally.Counts
 	}
-	return found, done, nil
+	return found, tally.Done, nil
 }
--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -29,7 +29,8 @@
 	if err != nil {
 		return err
 	}
-	stewards := steward.New(b.directory, b.fleet, b.follower)
+	sender := endpoint.NewClient()
+	stewards := steward.New(b.directory, b.fleet, b.follower, sender, b.notes)
 	b.directory.OnLeave(stewards.Leave)
 	if err := b.server.Register("Steward", steward.NewService(stewards)); err != nil {
 		return err
@@ -39,16 +40,20 @@
 		Store:    b.jobs,
 		Sessions: sessions,
 		Capacity: stewards,
-		Sender:   endpoint.NewClient(),
+		Sender:   sender,
 		Document: b.follower,
 		Notes:    b.notes,
 		Log:      b.log,
 	})
 	sessions.OnLost(worker.SessionLost)
+	if err := b.server.Register("Dispatcher", dispatcher.NewService(worker)); err != nil {
+		return err
+	}
 	group := &run.Group{}
 	if err := b.common(ctx, group, at); err != nil {
 		return err
 	}
+	add(group, stewards.Run)
 	add(group, func(ctx context.Context) error {
 		return runWithSession(ctx, sessions, worker)
 	})
