Metrics of lots and of items by outcome

Counted where the dispatcher's store commits them, so that a lot whose commit was refused is not counted. Seen failing first with the uncounted store: TestMetrics waits for the lots in vain.

--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -36,8 +36,12 @@
 		return err
 	}
 	sessions := lease.New(b.table, string(s.VM.Name), time.Duration(s.Timing.SessionTerm), b.log)
+	counted, err := newCountedJobs(b.status.Meter(), b.jobs)
+	if err != nil {
+		return err
+	}
 	worker := dispatcher.New(dispatcher.Parts{
-		Store:    b.jobs,
+		Store:    counted,
 		Sessions: sessions,
 		Capacity: stewards,
 		Sender:   sender,
--- a/test/product_metrics_test.go
+++ b/test/product_metrics_test.go
@@ -9,10 +9,12 @@
 	"testing"
 	"time"
 
+	"github.com/openai/openai-go/v3"
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/standin"
 )
 
 // TestMetrics reads each process's metrics after some requests, and its liveness and readiness while it shuts down.
@@ -31,6 +33,25 @@
 	response, err := http.Get(c.gatewayURL(0) + "/v1/models")
 	assert.NilError(t, err)
 	_ = response.Body.Close()
+	// One item of the ten can never be done. One of the dispatchers has the lot.
+	input := batchInput(10, 2, func(i int) string {
+		if i == 4 {
+			return standin.NeverMark
+		}
+		return "sheet"
+	})
+	batch := submit(t, c.client(0), input)
+	waitStatus(t, c.client(0), batch.ID, openai.BatchStatusCompleted)
+	for _, want := range []string{
+		`rhubarbrudder_lots_total{event="claimed"} `,
+		`rhubarbrudder_lots_total{event="finished"} `,
+		`rhubarbrudder_items_total{outcome="completed"} 9`,
+		`rhubarbrudder_items_total{outcome="failed"} 1`,
+	} {
+		waitFor(t, want, readyTimeout, func() bool {
+			return strings.Contains(withoutScope(get(t, "http://"+c.address(11, 9102)+"/metrics")+get(t, "http://"+c.address(12, 9102)+"/metrics")), want)
+		})
+	}
 	cases := map[string]struct {
 		port int
 		want []string
