Test: two runs on one machine don't share loopback addresses

Cause: TestBatchCancelStops and TestNotRunIsTrue failed with 'address already in use' while the same tests ran in another checkout on this machine; no fault of the product. The third octet now comes from the run's process id. Ruled out: ports from the kernel, as every VM has the same ports by design.

--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -37,6 +37,9 @@
 	readyTimeout = 60 * time.Second
 )
 
+// runOctet is the third octet of loopback addresses, so that two runs of the tests on one machine rarely meet.
+var runOctet = 1 + os.Getpid()%250
+
 // binaries builds the commands once for all tests.
 var binaries = sync.OnceValues(func() (string, error) {
 	folder, err := os.MkdirTemp("", "rhubarbrudder-test")
@@ -141,11 +144,11 @@
 
 // address returns a loopback address of the cluster; VMs count from 11, engines from 101, plain services from 201.
 func (c *cluster) address(host, port int) string {
-	return fmt.Sprintf("127.%d.0.%d:%d", c.options.net, host, port)
+	return fmt.Sprintf("%s:%d", c.ip(host), port)
 }
 
 func (c *cluster) ip(host int) string {
-	return fmt.Sprintf("127.%d.0.%d", c.options.net, host)
+	return fmt.Sprintf("127.%d.%d.%d", c.options.net, runOctet, host)
 }
 
 func (c *cluster) serve(address string, handler http.Handler) {
