--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	Objects() job.Objects
 	PutFile(ctx context.Context, file job.File) error
 	File(ctx context.Context, id document.OrganisationID, file job.FileID) (job.File, error)
+	FilesOf(ctx context.Context, id document.OrganisationID, after job.FileID, limit int) ([]job.File, error)
+	DeleteFile(ctx context.Context, id document.OrganisationID, file job.FileID) error
 	Create(ctx context.Context, made job.Job) (job.Job, error)
 	Job(ctx context.Context, id document.OrganisationID, wanted job.ID) (job.Job, error)
 	JobsOf(ctx context.Context, id document.OrganisationID, after job.ID, limit int) ([]job.Job, error)
@@ -62,6 +64,7 @@
 	router   Router
 	jobs     Jobs
 	cancel   Canceller
+	calls    Calls
 	limiter  Limiter
 	log      *slog.Logger
 }
@@ -73,6 +76,7 @@
 	Router   Router
 	Jobs     Jobs
 	Cancel   Canceller
+	Calls    Calls
 	Limiter  Limiter
 	Log      *slog.Logger
 }
@@ -85,6 +89,7 @@
 		router:   parts.Router,
 		jobs:     parts.Jobs,
 		cancel:   parts.Cancel,
+		calls:    parts.Calls,
 		limiter:  parts.Limiter,
 		log:      parts.Log,
 	}
@@ -97,6 +102,8 @@
 	mux.HandleFunc("POST /v1/completions", g.as(g.serveCompletion))
 	mux.HandleFunc("GET /v1/models", g.as(g.serveModels))
 	mux.HandleFunc("POST /v1/files", g.as(g.serveUpload))
+	mux.HandleFunc("GET /v1/files", g.as(g.serveFiles))
+	mux.HandleFunc("DELETE /v1/files/{file}", g.as(g.serveDeleteFile))
 	mux.HandleFunc("GET /v1/files/{file}", g.as(g.serveFile))
 	mux.HandleFunc("GET /v1/files/{file}/content", g.as(g.serveContent))
 	mux.HandleFunc("POST /v1/batches", g.as(g.serveCreateBatch))
@@ -104,6 +111,7 @@
 	mux.HandleFunc("GET /v1/batches/{batch}", g.as(g.serveBatch))
 	mux.HandleFunc("POST /v1/batches/{batch}/cancel", g.as(g.serveCancelBatch))
 	mux.HandleFunc("/services/{service}/{path...}", g.as(g.servePlain))
+	mux.HandleFunc("/", g.as(g.serveNothing))
 	return mux
 }
 
@@ -112,6 +120,7 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	id           request.ID
+	ticket       *request.Ticket
 	organisation document.OrganisationID
 	view         *document.View
 }
@@ -121,10 +130,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		view, fresh := g.document.Fresh()
 		c := &caller{
-			w:    w,
-			r:    r,
-			id:   request.NewID(),
-			view: view,
+			w:      w,
+			r:      r,
+			id:     request.NewID(),
+			ticket: &request.Ticket{},
+			view:   view,
 		}
 		w.Header().Set(endpoint.HeaderRequestID, string(c.id))
 		if !fresh {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/oklog/run"
 
 	"rhubarbrudder/internal/burn"
+	"rhubarbrudder/internal/call"
 	"rhubarbrudder/internal/dispatcher"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
@@ -18,6 +19,9 @@
 	"rhubarbrudder/internal/steward"
 )
 
+// storeTimeout bounds how long a gateway that shuts down tries to store the answers of calls.
+const storeTimeout = time.Minute
+
 // RunGateway runs a gateway until ctx ends and every request is answered.
 func RunGateway(ctx context.Context, s settings.Settings, log *slog.Logger) error {
 	at := place{
@@ -30,19 +34,31 @@
 		return err
 	}
 	tracker := endpoint.NewTracker()
-	reporter := steward.NewReporter(tracker, b.fleet, b.peers)
-	picker := endpoint.NewPicker(b.directory, tracker, s.VM.FailureDomain)
+	reporter := steward.NewReporter(tracker, b.directory, b.fleet, b.peers)
+	picker := endpoint.NewPicker(b.directory, tracker, b.fleet)
 	counters := burn.NewCounters(time.Now)
 	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
 		return err
 	}
-	routes := router.New(picker, endpoint.NewClient(), reporter, b.notes, b.log)
+	stall := router.Stall{
+		First:   time.Duration(s.Timing.FirstToken),
+		Between: time.Duration(s.Timing.Token),
+	}
+	calls := call.New(b.table, b.objects, b.peers, call.Owner{
+		Member:  b.self.ID(),
+		Address: b.self.Address,
+	}, b.log)
+	if err := b.server.Register("Call", call.NewService(calls)); err != nil {
+		return err
+	}
+	routes := router.New(picker, endpoint.NewClient(), reporter, stall, b.notes, b.log)
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
 		Router:   burn.NewWatch(routes, b.follower, counters),
 		Jobs:     b.jobs,
 		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
+		Calls:    calls,
 		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
 		Log:      b.log,
 	})
@@ -56,5 +72,11 @@
 	}
 	b.status.SetReady(true)
 	b.log.Info("gateway started", "address", s.VM.Join(s.Ports.Caller))
-	return group.Run()
+	if err := group.Run(); err != nil {
+		return err
+	}
+	stored, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	defer cancel()
+	calls.Wait(stored)
+	return nil
 }
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -7,6 +7,13 @@
 	"time"
 )
 
+const (
+	// OutcomeNotRun says that a refused request reached no endpoint.
+	OutcomeNotRun = "not run"
+	// OutcomeUnknown says that a refused request may have run.
+	OutcomeUnknown = "unknown"
+)
+
 // Refusal tells a caller that its request was not answered, and whether it may have run.
 type Refusal struct {
 	Status     int
@@ -29,9 +36,9 @@
 // Outcome is the value of the header that tells whether a refused request ran.
 func (r *Refusal) Outcome() string {
 	if r.notRun {
-		return "not run"
+		return OutcomeNotRun
 	}
-	return "unknown"
+	return OutcomeUnknown
 }
 
 // Ticket follows a request from arrival to dispatch. Only a ticket whose request was never
@@ -73,10 +80,32 @@
 	}
 }
 
+// Vouch returns the refusal, or one that says "unknown" if the request may have reached an endpoint.
+func (t *Ticket) Vouch(refusal *Refusal) *Refusal {
+	vouched := *refusal
+	vouched.notRun = refusal.notRun && !t.Dispatched()
+	return &vouched
+}
+
+// Unknown returns a refusal of a request that may have run, or whose earlier sending may have.
+func Unknown(status int, code, message string, retryAfter time.Duration) *Refusal {
+	return &Refusal{
+		Status:     status,
+		Code:       code,
+		Message:    message,
+		RetryAfter: retryAfter,
+	}
+}
+
 // Invalid returns a refusal of a request that can't be served as it is; it was not run.
 func Invalid(code, message string) *Refusal {
+	return Reject(http.StatusBadRequest, code, message)
+}
+
+// Reject is Invalid with a status of its own.
+func Reject(status int, code, message string) *Refusal {
 	return &Refusal{
-		Status:  http.StatusBadRequest,
+		Status:  status,
 		Code:    code,
 		Message: message,
 		notRun:  true,
