--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -86,6 +88,9 @@
 	if file.Path != body.Endpoint {
 		return job.Job{}, request.Invalid("endpoint_mismatch", "the items name "+file.Path)
 	}
+	if err := checkPath(file.Path); err != nil {
+		return job.Job{}, err
+	}
 	service, err := g.batchService(c, body.Endpoint, file)
 	if err != nil {
 		return job.Job{}, err
@@ -173,8 +178,8 @@
 }
 
 // batchService returns the service that a job's items go to.
-func (g *Gateway) batchService(c *caller, path string, file job.File) (document.ServiceName, error) {
-	if rest, plain := strings.CutPrefix(path, servicesPrefix); plain {
+func (g *Gateway) batchService(c *caller, given string, file job.File) (document.ServiceName, error) {
+	if rest, plain := strings.CutPrefix(given, servicesPrefix); plain {
 		name, _, _ := strings.Cut(rest, "/")
 		if _, ok := c.view.Services[document.ServiceName(name)]; !ok {
 			return "", request.Invalid("service_not_found", "there is no service "+name)
@@ -188,14 +193,24 @@
 	return service, nil
 }
 
+// checkPath refuses a path that an endpoint may read otherwise than this process: it could name another host, or a
+// path that may not be repeated.
+func checkPath(given string) error {
+	parsed, err := url.ParseRequestURI(given)
+	if err != nil || parsed.Host != "" || parsed.EscapedPath() != parsed.Path || path.Clean(parsed.Path) != parsed.Path {
+		return request.Invalid("invalid_path", "the items' path is not in its shortest form")
+	}
+	return nil
+}
+
 // servicePath returns the path at the service itself.
-func servicePath(path string) string {
-	rest, plain := strings.CutPrefix(path, servicesPrefix)
+func servicePath(given string) string {
+	rest, plain := strings.CutPrefix(given, servicesPrefix)
 	if !plain {
-		return path
+		return given
 	}
-	_, path, _ = strings.Cut(rest, "/")
-	return "/" + path
+	_, target, _ := strings.Cut(rest, "/")
+	return "/" + target
 }
 
 func parseWindow(window string, policy document.Policy) (time.Duration, error) {
--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -10,6 +10,7 @@
 	"rhubarbrudder/internal/dispatcher"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/lease"
 	"rhubarbrudder/internal/settings"
 	"rhubarbrudder/internal/steward"
@@ -57,6 +58,7 @@
 		return err
 	}
 	add(group, stewards.Run)
+	add(group, b.sweeper().Run)
 	add(group, func(ctx context.Context) error {
 		return runWithSession(ctx, sessions, worker)
 	})
@@ -84,3 +86,15 @@
 	}
 	return err
 }
+
+// sweeper returns the sweeper of what this process is chosen for.
+func (b *base) sweeper() *job.Sweeper {
+	mine := func(name string) bool {
+		owner, ok := fleet.Owner(b.fleet.Alive(fleet.RoleDispatcher), name)
+		return ok && owner.ID() == b.self.ID()
+	}
+	retention := func() time.Duration {
+		return time.Duration(b.follower.View().Policy.RetentionHours) * time.Hour
+	}
+	return job.NewSweeper(b.jobs, b.objects, mine, retention, b.log)
+}
