--- /dev/null
+++ b/test/batch_bench_test.go
@@ -0,0 +1,71 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkBatchThroughput runs a job and then the same items against the same engines directly, with as many at once
+// as batch may use and nothing kept, and reports the ratio of the two rates.
+func BenchmarkBatchThroughput(b *testing.B) {
+	const items, tokens, slots = 12000, 16, 32
+	options := batchCluster(47)
+	options.engine.Slots = slots
+	options.engine.TokenInterval = 4 * time.Millisecond
+	options.policy.LotItems = 500
+	options.policy.CheckpointMilliseconds = 3000
+	for b.Loop() {
+		c := newCluster(b, options)
+		client := c.client(0)
+		began := time.Now()
+		batch := submit(b, client, batchInput(items, tokens, sheet))
+		waitStatus(b, client, batch.ID, openai.BatchStatusCompleted)
+		kept := items / time.Since(began).Seconds()
+		direct := driveDirectly(b, c, items, tokens, slots-2)
+		b.ReportMetric(kept, "items/s")
+		b.ReportMetric(direct, "direct-items/s")
+		b.ReportMetric(kept/direct, "ratio")
+		c.stop()
+	}
+}
+
+// driveDirectly sends the items to the engines with so many at once at each, and returns the rate.
+func driveDirectly(tb testing.TB, c *cluster, items, tokens, atOnce int) float64 {
+	tb.Helper()
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: atOnce,
+		},
+	}
+	next := make(chan int, items)
+	for i := range items {
+		next <- i
+	}
+	close(next)
+	began := time.Now()
+	var group sync.WaitGroup
+	for engine := range c.options.engines {
+		url := "http://" + c.address(101+engine, 8000) + "/v1/chat/completions"
+		for range atOnce {
+			group.Go(func() {
+				for i := range next {
+					body := fmt.Sprintf(`{"model":"%s","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"%s"}]}`, testModel, tokens, sheet(i))
+					response, err := client.Post(url, "application/json", bytes.NewReader([]byte(body)))
+					assert.Check(tb, err)
+					_, _ = io.Copy(io.Discard, response.Body)
+					_ = response.Body.Close()
+				}
+			})
+		}
+	}
+	group.Wait()
+	return float64(items) / time.Since(began).Seconds()
+}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -27,7 +27,7 @@
 }
 
 // submit uploads an input and makes a job of it.
-func submit(t *testing.T, client openai.Client, input string) *openai.Batch {
+func submit(t testing.TB, client openai.Client, input string) *openai.Batch {
 	t.Helper()
 	ctx := context.Background()
 	file, err := client.Files.New(ctx, openai.FileNewParams{
@@ -45,7 +45,7 @@
 }
 
 // waitStatus waits until a job has the status.
-func waitStatus(t *testing.T, client openai.Client, id string, status openai.BatchStatus) *openai.Batch {
+func waitStatus(t testing.TB, client openai.Client, id string, status openai.BatchStatus) *openai.Batch {
 	t.Helper()
 	var batch *openai.Batch
 	waitFor(t, "batch to be "+string(status), readyTimeout, func() bool {
