Batch: dispatchers claim what they need and help each other; resends with a second upload are known

Cause: a dispatcher claimed several lots at once whatever it needed, and took only lots for which it was preferred, so that the endpoint that by chance was preferred for most decided when a job ended. Now it claims when the items at hand will soon be too few for the slots, and one without lots of its own takes the last unclaimed one, if its own endpoints answered lately. A job whose last holder died before it ended the job is found by a listing that is overdue; lots of a cancelled job are closed also when their service has no endpoint.

A resend that uploads the same items again found its key used with another request: the hash of a submission now takes the items' hash for the file's id.

--- a/internal/dispatcher/canceller.go
+++ b/internal/dispatcher/canceller.go
@@ -12,6 +12,7 @@
 
 // Members lists the processes alive.
 type Members interface {
+	Self() fleet.Member
 	Alive(role fleet.Role) []fleet.Member
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -45,6 +45,8 @@
 	Acquire(ctx context.Context, service document.ServiceName, avoid map[endpoint.ID]bool) (*steward.Grant, error)
 	// Prefers reports whether the work of the name is best done by this process.
 	Prefers(service document.ServiceName, name string) bool
+	// Owns reports whether this process can be granted slots of the service at all.
+	Owns(service document.ServiceName) bool
 }
 
 // Sender sends a request to one endpoint.
@@ -76,7 +78,10 @@
 	// stale are the jobs whose lots changed since they were listed.
 	stale map[job.ID]bool
 	// items counts the items that ended since the last scan.
-	items  map[document.ServiceName]int
+	items map[document.ServiceName]int
+	// latest is when an item of a service last ended here.
+	latest map[document.ServiceName]time.Time
+	runs   map[*run]bool
 	active []job.ActiveRow
 	pulse  pulse
 	lots   sync.WaitGroup
@@ -116,6 +121,8 @@
 		stopped:  map[job.ID]time.Time{},
 		stale:    map[job.ID]bool{},
 		items:    map[document.ServiceName]int{},
+		latest:   map[document.ServiceName]time.Time{},
+		runs:     map[*run]bool{},
 	}
 	d.board = newBoard(d.weight)
 	return d
@@ -207,6 +214,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.items[service]++
+	d.latest[service] = time.Now()
 }
 
 func (d *Dispatcher) note(id job.ID, decision string, facts ...explain.Fact) {
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -118,15 +118,18 @@
 }
 
 func (r *run) load(ctx context.Context) error {
-	var err error
-	r.items, err = r.dispatcher.store.Items(ctx, r.lot.Lot)
+	items, err := r.dispatcher.store.Items(ctx, r.lot.Lot)
 	if err != nil {
 		return err
 	}
-	r.progress, err = r.dispatcher.store.Progress(ctx, r.lot.Lot)
+	progress, err := r.dispatcher.store.Progress(ctx, r.lot.Lot)
 	if err != nil {
 		return err
 	}
+	r.mu.Lock()
+	r.items = items
+	r.progress = progress
+	r.mu.Unlock()
 	r.abandonStarted()
 	return nil
 }
@@ -196,12 +199,12 @@
 	return r.save(ctx)
 }
 
-// stranded reports whether nothing of the lot runs and another process is preferred for it.
+// stranded reports whether nothing of the lot runs and no endpoint for it is this process's.
 func (r *run) stranded() bool {
 	r.mu.Lock()
 	running := len(r.running)
 	r.mu.Unlock()
-	return running == 0 && !r.dispatcher.prefers(r.active, r.lot.Lot)
+	return running == 0 && !r.dispatcher.capacity.Owns(r.active.Service)
 }
 
 func (r *run) save(ctx context.Context) error {
--- a/internal/dispatcher/scan.go
+++ b/internal/dispatcher/scan.go
@@ -21,7 +21,7 @@
 	// listsPerSecond is how many listings the dispatchers together make a second, at most.
 	listsPerSecond = 200
 	// mostLots is how many lots a dispatcher holds at once.
-	mostLots = 4
+	mostLots = 8
 )
 
 // relistPeriod is how long a listing is believed: the dispatchers together keep inside their share of the reads.
@@ -41,8 +41,7 @@
 	relist := d.relistPeriod(len(active))
 	d.board.update(active, time.Now(), relist)
 	for _, state := range d.board.jobs {
-		last := stale[state.row.Job] && len(state.queue) == 0 && !d.holdsJob(state.row.Job)
-		if last || state.row.Cancelled && time.Since(state.listed) >= scanPeriod {
+		if d.mustList(state, stale[state.row.Job], relist) {
 			d.list(ctx, state)
 		}
 		if state.row.Cancelled {
@@ -53,6 +52,19 @@
 	d.forget(active)
 }
 
+// overdueListings is after how many periods a job is listed without a turn: its last holder may have died before it
+// ended the job.
+const overdueListings = 5
+
+// mustList reports whether a job's lots are to be listed before it has its turn.
+func (d *Dispatcher) mustList(state *jobState, stale bool, relist time.Duration) bool {
+	age := time.Since(state.listed)
+	if state.row.Cancelled {
+		return age >= scanPeriod
+	}
+	return len(state.queue) == 0 && (age >= overdueListings*relist || stale && !d.holdsJob(state.row.Job))
+}
+
 // claimLots claims lots until this process holds enough.
 func (d *Dispatcher) claimLots(ctx context.Context, relist time.Duration) {
 	for d.holding() < mostLots && ctx.Err() == nil {
@@ -62,6 +74,10 @@
 		}
 		state := d.board.jobs[turn.Job.ID]
 		d.reportRisk(state, turn)
+		if !d.hungry(state.row.Service) {
+			d.board.order.Remove(turn.Job.ID)
+			continue
+		}
 		if len(state.queue) == 0 && time.Since(state.listed) >= relist {
 			d.list(ctx, state)
 		}
@@ -112,11 +128,17 @@
 		tally := job.TallyOf(lots)
 		state.left = state.row.Items - tally.Counts.Completed - tally.Counts.Failed
 		state.queue = d.claimable(state.row, lots)
+		if len(state.queue) == 0 && d.mayHelp(state.row) {
+			state.queue = d.helpable(state.row, lots)
+		}
 		if tally.Ends(state.row.Lots, len(lots), state.row.Cancelled) {
 			_, err = d.store.Finish(ctx, state.row.Job)
 		}
 	}
 	if err != nil && ctx.Err() == nil {
+		d.mu.Lock()
+		d.stale[state.row.Job] = true
+		d.mu.Unlock()
 		d.log.Warn("job not scanned", "job", state.row.Job, "err", err)
 	}
 }
@@ -156,7 +178,7 @@
 	seen := map[job.LotID]bool{}
 	for _, lot := range lots {
 		seen[lot.ID] = true
-		if d.stray(active, lot) || d.open(active, lot) && d.prefers(active, lot.Lot) {
+		if d.stray(active, lot) || d.open(active, lot) && d.chosen(active, lot.Lot) {
 			free = append(free, lot)
 		}
 	}
@@ -174,6 +196,15 @@
 	return free
 }
 
+// chosen reports whether this process is the one to claim the lot; one of a cancelled job needs no endpoint.
+func (d *Dispatcher) chosen(active job.ActiveRow, lot job.Lot) bool {
+	if !active.Cancelled {
+		return d.prefers(active, lot)
+	}
+	owner, ok := fleet.Owner(d.members.Alive(fleet.RoleDispatcher), lot.Name(active.Job))
+	return ok && owner.ID() == d.members.Self().ID()
+}
+
 // open reports whether a lot with a row is free to claim; of a cancelled job, to store what it has finished.
 func (d *Dispatcher) open(active job.ActiveRow, lot job.LotRow) bool {
 	if lot.State == job.LotClaimed {
@@ -208,12 +239,14 @@
 	lotCtx, cancel := context.WithCancel(ctx)
 	r := d.newRun(ctx, cancel, active, claimed)
 	d.hold(r.key(lot.ID), cancel)
+	d.track(r, true)
 	if active.Cancelled || d.isStopped(active.Job) {
 		cancel()
 	}
 	d.lots.Go(func() {
 		defer cancel()
 		r.run(lotCtx)
+		d.track(r, false)
 		d.drop(r.key(lot.ID))
 		d.drop(r.key(r.lot.ID))
 		d.ended(active.Job)
--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -71,7 +71,6 @@
 	if err != nil {
 		return err
 	}
-	made.BodyHash = document.HashOf(string(data))
 	stored, err := g.jobs.Create(c.r.Context(), made)
 	if err != nil {
 		return err
@@ -119,10 +118,26 @@
 		Created:      now,
 		Due:          now.Add(window),
 	}
+	made.BodyHash, err = submissionHash(body, file)
+	if err != nil {
+		return job.Job{}, err
+	}
 	made.Due, err = parseDue(body.Metadata, made.Due, now)
 	return made, err
 }
 
+// submissionHash returns the hash of what is asked for; a resend may have uploaded the same items again.
+func submissionHash(body createBatchBody, file job.File) (document.Hash, error) {
+	if file.Hash != "" {
+		body.InputFileID = string(file.Hash)
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return "", err
+	}
+	return document.HashOf(string(data)), nil
+}
+
 // parseDue returns the due time that the metadata asks for. One that has passed can't be met for certain; whether a
 // later one can is reported while the job runs.
 func parseDue(metadata map[string]string, due, now time.Time) (time.Time, error) {
--- a/internal/job/intake.go
+++ b/internal/job/intake.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"hash"
 	"io"
 	"net/http"
 	"strings"
@@ -34,6 +37,7 @@
 	items   int
 	line    int
 	ids     map[uint64]struct{}
+	hash    hash.Hash
 }
 
 // NewIntake returns an intake of a file of the organisation.
@@ -48,7 +52,8 @@
 			Purpose:      "batch",
 			Created:      time.Now().UTC(),
 		},
-		ids: map[uint64]struct{}{},
+		ids:  map[uint64]struct{}{},
+		hash: sha256.New(),
 	}
 }
 
@@ -82,6 +87,7 @@
 	if i.file.Items == 0 {
 		return File{}, i.wrong("the file has no items")
 	}
+	i.file.Hash = document.Hash(hex.EncodeToString(i.hash.Sum(nil)))
 	return i.file, nil
 }
 
@@ -113,11 +119,11 @@
 	if err := i.checkModel(item); err != nil {
 		return err
 	}
-	hash := xxhash.Sum64String(item.CustomID)
-	if _, twice := i.ids[hash]; twice {
+	id := xxhash.Sum64String(item.CustomID)
+	if _, twice := i.ids[id]; twice {
 		return i.wrong("custom_id " + item.CustomID + " is used twice")
 	}
-	i.ids[hash] = struct{}{}
+	i.ids[id] = struct{}{}
 	return nil
 }
 
@@ -146,6 +152,8 @@
 	}
 	i.lot.Write(line)
 	i.lot.WriteByte('\n')
+	_, _ = i.hash.Write(line)
+	_, _ = i.hash.Write([]byte{'\n'})
 	i.items++
 	i.file.Items++
 	i.file.Bytes += int64(len(line) + 1)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -36,6 +36,8 @@
 	// Model is the model that every item names; it is empty for plain services.
 	Model   document.ModelName
 	Created time.Time
+	// Hash is the hash of the items, so that a resend that uploads them again is known.
+	Hash document.Hash
 	// Deleted is when the organisation deleted the file, or zero.
 	Deleted time.Time
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -129,6 +129,11 @@
 	}
 }
 
+// Owns reports whether this process is the steward of an endpoint of the service.
+func (s *Steward) Owns(service document.ServiceName) bool {
+	return len(s.owners.ownedOf(service)) > 0
+}
+
 // Prefers reports whether the work of the name, for the service, is best done by this process:
 // a name belongs to an endpoint, and so to that endpoint's steward, which alone can grant its slots.
 func (s *Steward) Prefers(service document.ServiceName, name string) bool {
--- a/test/batch_cancel_test.go
+++ b/test/batch_cancel_test.go
@@ -95,12 +95,19 @@
 	t.Parallel()
 	const items, tokens = 40, 5
 	c := newCluster(t, batchCluster(43))
-	client := c.client(0)
-	file, err := client.Files.New(context.Background(), openai.FileNewParams{
-		File:    openai.File(strings.NewReader(batchInput(items, tokens, sheet)), "input.jsonl", "application/jsonl"),
-		Purpose: openai.FilePurposeBatch,
-	})
-	assert.NilError(t, err)
+	lose(c.platform.Objects.Faults, "file/", 2)
+	lose(c.platform.Table.Faults, "File", 2)
+	// Half of the submissions name a second upload of the same items.
+	files := make([]string, 2)
+	for i := range files {
+		client := c.client(i)
+		file, err := client.Files.New(context.Background(), openai.FileNewParams{
+			File:    openai.File(strings.NewReader(batchInput(items, tokens, sheet)), "input.jsonl", "application/jsonl"),
+			Purpose: openai.FilePurposeBatch,
+		})
+		assert.NilError(t, err)
+		files[i] = file.ID
+	}
 	lose(c.platform.Table.Faults, "Job", 4)
 	ids := make([]string, 12)
 	var sent sync.WaitGroup
@@ -109,7 +116,7 @@
 			waitFor(t, "submission", readyTimeout, func() bool {
 				client := c.client(i % 3)
 				batch, err := client.Batches.New(context.Background(), openai.BatchNewParams{
-					InputFileID:      file.ID,
+					InputFileID:      files[i%len(files)],
 					Endpoint:         openai.BatchNewParamsEndpointV1ChatCompletions,
 					CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
 				}, option.WithHeader("Idempotency-Key", "evening-sheets"))
@@ -135,6 +142,40 @@
 	}.whole(t)
 }
 
+// TestBatchRefusalIsTrue submits while the table is away: the refusal says "not run", and nothing was kept.
+func TestBatchRefusalIsTrue(t *testing.T) {
+	t.Parallel()
+	options := batchCluster(48)
+	options.vms = 1
+	c := newCluster(t, options)
+	client := c.client(0)
+	file, err := client.Files.New(context.Background(), openai.FileNewParams{
+		File:    openai.File(strings.NewReader(batchInput(5, 2, sheet)), "input.jsonl", "application/jsonl"),
+		Purpose: openai.FilePurposeBatch,
+	})
+	assert.NilError(t, err)
+	refused := func(key string) *http.Response {
+		var response *http.Response
+		_, err := client.Batches.New(context.Background(), openai.BatchNewParams{
+			InputFileID:      file.ID,
+			Endpoint:         openai.BatchNewParamsEndpointV1ChatCompletions,
+			CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+		}, option.WithHeader("Idempotency-Key", key), option.WithResponseInto(&response))
+		assert.Assert(t, err != nil, "the submission was accepted")
+		return response
+	}
+	c.platform.Table.Faults.Set(standin.Fault{
+		Outage: true,
+	})
+	assert.Equal(t, refused("down").Header.Get("Rhubarbrudder-Outcome"), "not run")
+	lose(c.platform.Table.Faults, "Job", 100)
+	assert.Equal(t, refused("lost").Header.Get("Rhubarbrudder-Outcome"), "unknown")
+	c.platform.Table.Faults.Set(standin.Fault{})
+	rows := c.platform.Table.Rows("Job")
+	assert.Equal(t, len(rows), 1, "the submission that was refused as not run was kept")
+	assert.Equal(t, rows[0].Key.Sort, string(job.IDFor("lawinenwerk", "lost")))
+}
+
 // submitOnce makes a job of calls that may run at most once.
 func submitOnce(t *testing.T, c *cluster, items int) job.ID {
 	t.Helper()
