--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -41,6 +41,10 @@
 	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
 		return err
 	}
+	observer, err := newFirstTokens(b.status.Meter(), counters)
+	if err != nil {
+		return err
+	}
 	stall := router.Stall{
 		First:   time.Duration(s.Timing.FirstToken),
 		Between: time.Duration(s.Timing.Token),
@@ -61,12 +65,12 @@
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
-		Router:   burn.NewWatch(routes, b.follower, counters),
+		Router:   burn.NewWatch(routes, b.follower, observer),
 		Jobs:     b.jobs,
 		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Calls:    calls,
 		Queue:    waiting,
-		Limiter:  burn.NewWatchLimiter(limiter, counters),
+		Limiter:  burn.NewWatchLimiter(limiter, observer),
 		Log:      b.log,
 	})
 	group := &run.Group{}
