Ask about one more endpoint with each report, and compare choices

A gateway heard what the fleet has at an endpoint only when it sent there itself. Each report now asks about one more endpoint in turn; loadtest routing has an all-knowing choice that shows what more knowledge would gain.

--- a/internal/loadtest/baseline.go
+++ b/internal/loadtest/baseline.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
@@ -53,3 +54,50 @@
 	}
 	return best, true
 }
+
+// allTrackers are the trackers of every gateway of a fleet.
+type allTrackers struct {
+	mu       sync.Mutex
+	trackers []*endpoint.Tracker
+}
+
+// allKnowingPicker chooses the endpoint with the fewest online requests of all gateways, known without delay:
+// no real gateway can, but it shows what knowing more would gain.
+type allKnowingPicker struct {
+	directory *endpoint.Directory
+	all       *allTrackers
+}
+
+func newAllKnowing() pickerOf {
+	all := &allTrackers{}
+	return func(directory *endpoint.Directory, tracker *endpoint.Tracker, _ *fixedMembers) router.Picker {
+		all.mu.Lock()
+		defer all.mu.Unlock()
+		all.trackers = append(all.trackers, tracker)
+		return &allKnowingPicker{
+			directory: directory,
+			all:       all,
+		}
+	}
+}
+
+// Pick returns the endpoint with the fewest requests, the first found from a random place.
+func (p *allKnowingPicker) Pick(service document.ServiceName, _ request.Shape, _ map[endpoint.ID]bool) (endpoint.Endpoint, bool) {
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	serving := p.directory.Serving(service)
+	start := rand.IntN(len(serving))
+	best, fewest := serving[start], -1
+	for i := range serving {
+		candidate := serving[(start+i)%len(serving)]
+		online := 0
+		for _, tracker := range p.all.trackers {
+			own, _ := tracker.InFlight(candidate.ID)
+			online += own
+		}
+		if fewest < 0 || online < fewest {
+			best, fewest = candidate, online
+		}
+	}
+	return best, true
+}
--- a/internal/loadtest/harm.go
+++ b/internal/loadtest/harm.go
@@ -23,6 +23,7 @@
 	Engines       int
 	Slots         int
 	Reserves      []int
+	Only          []string
 }
 
 const (
@@ -37,10 +38,12 @@
 type mode struct {
 	name    string
 	reserve int
-	picker  pickerOf
+	picker  func() pickerOf
 	batch   func(ctx context.Context, f *testFleet, b *batch)
 }
 
+func newOwn() pickerOf { return ownPicker }
+
 func noBatch(context.Context, *testFleet, *batch) {}
 
 func naiveBatch(ctx context.Context, f *testFleet, b *batch) {
@@ -78,7 +81,7 @@
 		Engines: o.Engines,
 		Engine:  engine,
 		Reserve: m.reserve,
-	}, m.picker)
+	}, m.picker())
 	if err != nil {
 		return result{}, err
 	}
@@ -147,12 +150,12 @@
 	modes := []mode{
 		{
 			name:   "online alone",
-			picker: ownPicker,
+			picker: newOwn,
 			batch:  noBatch,
 		},
 		{
 			name:   "naive batch",
-			picker: ownPicker,
+			picker: newOwn,
 			batch:  naiveBatch,
 		},
 	}
@@ -160,7 +163,7 @@
 		modes = append(modes, mode{
 			name:    fmt.Sprintf("steward, reserve %d", reserve),
 			reserve: reserve,
-			picker:  ownPicker,
+			picker:  newOwn,
 			batch:   ownBatch,
 		})
 	}
@@ -169,17 +172,33 @@
 
 // routingModes run the same arrivals, with batch, under other ways to choose an endpoint.
 func (o HarmOptions) routingModes() []mode {
-	pickers := map[string]pickerOf{
-		"own choice":            ownPicker,
-		"random":                newRandomPicker,
-		"least in flight local": newLocalPicker,
+	pickers := []struct {
+		name string
+		make func() pickerOf
+	}{
+		{
+			name: "own choice",
+			make: newOwn,
+		},
+		{
+			name: "random",
+			make: func() pickerOf { return newRandomPicker },
+		},
+		{
+			name: "least in flight local",
+			make: func() pickerOf { return newLocalPicker },
+		},
+		{
+			name: "all-knowing",
+			make: newAllKnowing,
+		},
 	}
 	var modes []mode
-	for _, name := range []string{"own choice", "random", "least in flight local"} {
+	for _, picker := range pickers {
 		modes = append(modes, mode{
-			name:    name,
+			name:    picker.name,
 			reserve: o.Reserves[0],
-			picker:  pickers[name],
+			picker:  picker.make,
 			batch:   ownBatch,
 		})
 	}
@@ -188,6 +207,9 @@
 
 // compare runs every mode on every seed and prints each mode against the first of the same seed.
 func (o HarmOptions) compare(ctx context.Context, out io.Writer, modes []mode) error {
+	if len(o.Only) > 0 {
+		modes = slices.DeleteFunc(modes, func(m mode) bool { return !slices.Contains(o.Only, m.name) })
+	}
 	summaries := make([]summary, len(modes))
 	for seed := range uint64(o.Seeds) {
 		var first result
@@ -248,5 +270,6 @@
 	flags.IntVar(&o.VMs, "vms", 12, "gateways and dispatchers")
 	flags.IntVar(&o.Engines, "engines", 8, "model engines")
 	flags.IntVar(&o.Slots, "slots", 16, "slots of an engine")
+	flags.StringSliceVar(&o.Only, "only", nil, "the names of the modes to run; all if empty")
 	flags.IntSliceVar(&o.Reserves, "reserve", []int{1}, "slots of an engine that batch leaves free; several are compared")
 }
--- a/internal/steward/reporter.go
+++ b/internal/steward/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +37,10 @@
 	mu       sync.Mutex
 	dirty    map[endpoint.ID]bool
 	busy     map[endpoint.ID]bool
-	wake     chan struct{}
+	// seen are the endpoints that requests went to, which are asked about in turn.
+	seen []endpoint.ID
+	next int
+	wake chan struct{}
 }
 
 // NewReporter returns a reporter on the tracker.
@@ -65,6 +69,9 @@
 func (r *Reporter) mark(id endpoint.ID) {
 	r.mu.Lock()
 	r.dirty[id] = true
+	if !slices.Contains(r.seen, id) {
+		r.seen = append(r.seen, id)
+	}
 	r.mu.Unlock()
 	select {
 	case r.wake <- struct{}{}:
@@ -77,6 +84,8 @@
 	coalesce = 10 * time.Millisecond
 	// repeat is how often a count that is not zero is reported again.
 	repeat = 500 * time.Millisecond
+	// askedEach is how many endpoints a report asks about beside those whose count changed.
+	askedEach = 1
 	// reportTimeout bounds one report.
 	reportTimeout = 500 * time.Millisecond
 )
@@ -124,6 +133,7 @@
 	defer r.mu.Unlock()
 	reports := map[string]Report{}
 	sequence := r.sequence.Add(1)
+	r.askInTurn()
 	for id := range r.dirty {
 		online, _ := r.InFlight(id)
 		if online > 0 {
@@ -150,6 +160,18 @@
 	return reports
 }
 
+// askInTurn adds endpoints to the report whose fleet-wide load may be old, so that the next choice knows it.
+func (r *Reporter) askInTurn() {
+	for range min(askedEach, len(r.seen)) {
+		r.next = (r.next + 1) % len(r.seen)
+		if _, serving := r.owners.directory.Find(r.seen[r.next]); !serving {
+			r.seen = slices.Delete(r.seen, r.next, r.next+1)
+			return
+		}
+		r.dirty[r.seen[r.next]] = true
+	}
+}
+
 func (r *Reporter) send(ctx context.Context, address string, report Report) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
