--- a/internal/steward/account.go
+++ b/internal/steward/account.go
@@ -8,7 +8,7 @@
 
 // account is what a steward knows of one endpoint's slots.
 type account struct {
-	online map[string]onlineCount
+	online map[uint64]onlineCount
 	grants []*Grant
 	// past holds what was accounted for over the last seconds, oldest first.
 	past []accounted
@@ -45,7 +45,7 @@
 
 func newAccount(now time.Time) *account {
 	return &account{
-		online: map[string]onlineCount{},
+		online: map[uint64]onlineCount{},
 		opened: now,
 	}
 }
@@ -108,7 +108,7 @@
 }
 
 // take keeps a gateway's count unless a later one was heard, and reports whether it was kept.
-func (a *account) take(from string, sequence uint64, count int, now time.Time) bool {
+func (a *account) take(from uint64, sequence uint64, count int, now time.Time) bool {
 	if known, ok := a.online[from]; ok && known.sequence >= sequence {
 		return false
 	}
--- a/internal/steward/report.go
+++ b/internal/steward/report.go
@@ -9,7 +9,8 @@
 
 // Report tells a steward how many online requests a gateway has at endpoints.
 type Report struct {
-	From string
+	// From names the gateway, anew at each of its starts.
+	From uint64
 	// Sequence grows with each report of a gateway, so that one that arrives late is known.
 	Sequence uint64
 	Online   map[endpoint.ID]int
--- a/internal/steward/reporter.go
+++ b/internal/steward/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,7 @@
 	Tracker
 	owners   *ownership
 	caller   Caller
-	from     string
+	from     uint64
 	sequence atomic.Uint64
 	sent     atomic.Uint64
 	mu       sync.Mutex
@@ -49,7 +50,7 @@
 		Tracker: tracker,
 		owners:  newOwnership(directory, members),
 		caller:  caller,
-		from:    members.Self().ID(),
+		from:    rand.Uint64(),
 		dirty:   map[endpoint.ID]bool{},
 		busy:    map[endpoint.ID]bool{},
 		wake:    make(chan struct{}, 1),
@@ -86,6 +87,8 @@
 	repeat = 500 * time.Millisecond
 	// askedEach is how many endpoints a report asks about beside those whose count changed.
 	askedEach = 1
+	// mostAsked is the most endpoints that are asked about in turn: with more, an answer is old before it is used.
+	mostAsked = 16
 	// reportTimeout bounds one report.
 	reportTimeout = 500 * time.Millisecond
 )
@@ -162,6 +165,9 @@
 
 // askInTurn adds endpoints to the report whose fleet-wide load may be old, so that the next choice knows it.
 func (r *Reporter) askInTurn() {
+	if len(r.dirty) == 0 || len(r.seen) > mostAsked {
+		return
+	}
 	for range min(askedEach, len(r.seen)) {
 		r.next = (r.next + 1) % len(r.seen)
 		if _, serving := r.owners.directory.Find(r.seen[r.next]); !serving {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -81,7 +81,7 @@
 	granted chan *Grant
 }
 
-// Acquire waits for an idle slot of the service, if it can be at an endpoint that is not in avoid.
+// Acquire waits for an idle slot of the service at an endpoint that is not in avoid.
 // ErrNotOwner means that other processes are the stewards of all the service's endpoints.
 func (s *Steward) Acquire(ctx context.Context, service document.ServiceName, avoid map[endpoint.ID]bool) (*Grant, error) {
 	w := &waiter{
@@ -163,7 +163,7 @@
 	owned := s.owners.ownedOf(service)
 	for i := 0; i < len(s.waiting[service]); {
 		w := s.waiting[service][i]
-		best, floor, ok := s.idlest(owned, w.avoids(owned), settings, now)
+		best, floor, ok := s.idlest(owned, w.avoid, settings, now)
 		if ok {
 			s.remove(service, w)
 			s.grant(w, best, floor, now)
@@ -176,16 +176,6 @@
 	}
 }
 
-// avoids returns what the waiter avoids, which is nothing if it would have no endpoint left.
-func (w *waiter) avoids(owned []endpoint.Endpoint) map[endpoint.ID]bool {
-	for _, candidate := range owned {
-		if !w.avoid[candidate.ID] {
-			return w.avoid
-		}
-	}
-	return nil
-}
-
 // idlest returns the endpoint with the most free slots, or one at which a floor grant is owed.
 func (s *Steward) idlest(owned []endpoint.Endpoint, avoid map[endpoint.ID]bool, settings document.Service, now time.Time) (best endpoint.Endpoint, floor, ok bool) {
 	most := 0
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -176,7 +176,7 @@
 
 func (r *rig) report(sequence uint64, online int) ReportReply {
 	return r.steward.Take(Report{
-		From:     "gateway",
+		From:     1,
 		Sequence: sequence,
 		Online:   map[endpoint.ID]int{only: online},
 	})
