Test in processes that batch yields, resumes and survives lost and frozen stewards

TestBatchYieldsAndResumes: a rush of 24 over 3 gateways while a job runs, all stewards live or one killed; every answer whole, batch stopped and resumed, at most 3% more tokens made than answered. TestFrozenSteward: a steward with running grants stops for 4 s; no engine ever has more than its slots.

--- /dev/null
+++ b/test/steward_yield_test.go
@@ -0,0 +1,146 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/standin"
+)
+
+// batchRuns returns the batch requests that engines saw.
+func (c *cluster) batchRuns() []standin.Run {
+	var runs []standin.Run
+	for _, engine := range c.engines {
+		for _, run := range engine.Record.Runs() {
+			if run.Class == "Batch" {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+// Batch steps aside for a rush, goes on where it was stopped, and its answers are whole; so too when the process
+// that is the steward of most endpoints is killed in the middle.
+func TestBatchYieldsAndResumes(t *testing.T) {
+	const items, tokens, rush = 30, 150, 24
+	cases := map[string]struct {
+		net  int
+		kill bool
+	}{
+		"all stewards live": {
+			net: 72,
+		},
+		"steward killed": {
+			net:  73,
+			kill: true,
+		},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			options := defaultCluster(test.net)
+			options.engine.Slots = 16
+			options.policy.LotItems = 5
+			options.policy.CheckpointMilliseconds = 500
+			c := newCluster(t, options)
+			question := func(i int) string { return fmt.Sprintf("item %d", i) }
+			batch := submit(t, c.client(0), batchInput(items, tokens, question))
+			waitFor(t, "batch work", readyTimeout, func() bool { return len(c.batchRuns()) >= items/2 })
+			var group sync.WaitGroup
+			for i := range rush {
+				group.Go(func() {
+					asked := fmt.Sprintf("question %d", i)
+					answer, err := ask(c.client(i%options.vms), asked, 100)
+					assert.Check(t, err)
+					assert.Check(t, answer == standin.Answer(asked, 100), "answer %d", i)
+				})
+			}
+			if test.kill {
+				c.signal(fleet.RoleDispatcher, 0, syscall.SIGKILL)
+			}
+			group.Wait()
+			batch = waitStatus(t, c.client(1), batch.ID, openai.BatchStatusCompleted)
+			output := content(t, c.client(1), batch.OutputFileID)
+			for i := range items {
+				assert.Check(t, strings.Contains(output, strings.TrimSpace(standin.Answer(question(i), tokens))), "item %d", i)
+			}
+			stopped, resumed, generated := 0, 0, 0
+			for _, run := range c.batchRuns() {
+				generated += run.Tokens
+				if run.Cancelled {
+					stopped++
+				}
+				if run.Resumed > 0 {
+					resumed++
+				}
+			}
+			assert.Check(t, stopped > 0, "batch stepped aside")
+			assert.Check(t, resumed > 0, "and went on")
+			if !test.kill {
+				assert.Check(t, float64(generated) <= 1.03*items*tokens, "%d tokens made for %d", generated, items*tokens)
+			}
+		})
+	}
+}
+
+// A frozen steward is harmless: others take its endpoints over, see the frozen one's work in the engine's load, and
+// online requests are answered all the while.
+func TestFrozenSteward(t *testing.T) {
+	t.Parallel()
+	options := defaultCluster(74)
+	options.policy.LotItems = 6
+	c := newCluster(t, options)
+	const items, tokens = 16, 800
+	question := func(i int) string { return fmt.Sprintf("item %d", i) }
+	batch := submit(t, c.client(0), batchInput(items, tokens, question))
+	frozen := 0
+	waitFor(t, "batch work", readyTimeout, func() bool {
+		for vm := range options.vms {
+			if strings.Contains(c.processes[processName(fleet.RoleDispatcher, vm)].text(), "lot claimed") {
+				frozen = vm
+			}
+		}
+		return len(c.batchRuns()) > 6
+	})
+	c.signal(fleet.RoleDispatcher, frozen, syscall.SIGSTOP)
+	for i := range 20 {
+		asked := fmt.Sprintf("question %d", i)
+		answer, err := ask(c.client(i%options.vms), asked, 20)
+		assert.NilError(t, err)
+		assert.Equal(t, answer, standin.Answer(asked, 20))
+	}
+	time.Sleep(4 * time.Second)
+	c.signal(fleet.RoleDispatcher, frozen, syscall.SIGCONT)
+	batch = waitStatus(t, c.client(1), batch.ID, openai.BatchStatusCompleted)
+	output := content(t, c.client(1), batch.OutputFileID)
+	for i := range items {
+		assert.Check(t, strings.Count(output, fmt.Sprintf(`"item-%d"`, i)) == 1, "item %d", i)
+	}
+	for _, engine := range c.engines {
+		assert.Check(t, mostAtOnce(engine.Record.Runs()) <= options.engine.Slots, "more at an engine than it has slots")
+	}
+}
+
+// mostAtOnce returns the most requests that were at an engine at the same time.
+func mostAtOnce(runs []standin.Run) int {
+	most := 0
+	for _, run := range runs {
+		at := 0
+		for _, other := range runs {
+			if !other.Started.After(run.Started) && (other.Ended.IsZero() || other.Ended.After(run.Started)) {
+				at++
+			}
+		}
+		most = max(most, at)
+	}
+	return most
+}
