Report how long online requests wait for a slot

The time to the first token on a shared machine varies by a third between runs of the same seed, so the harm is also read from the engines' records. make bench runs both measurements.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,5 @@
 # bench prints ratios measured in one run; it is not part of test.
 bench: build
 	$(GO) test -run xxx -bench . -benchtime 1s ./...
+	./bin/loadtest harm
+	./bin/loadtest routing
--- a/internal/loadtest/harm.go
+++ b/internal/loadtest/harm.go
@@ -69,6 +69,8 @@
 	reports    uint64
 	batchPerS  float64
 	onlineLoad float64
+	// slotWait is how long online requests waited at the engine for a slot.
+	slotWait *hdrhistogram.Histogram
 }
 
 func (o HarmOptions) run(ctx context.Context, seed uint64, m mode) (result, error) {
@@ -122,6 +124,7 @@
 		stopped:    b.stopped.Load(),
 		batchPerS:  float64(during) / took.Seconds(),
 		onlineLoad: float64(busy) / float64(slotTime),
+		slotWait:   f.slotWaits(),
 	}
 	if generated > 0 {
 		lost := 1 - float64(b.tokens.Load())/float64(generated)
@@ -134,6 +137,19 @@
 	return made
 }
 
+// slotWaits returns how long online requests waited for a slot: the harm that no noise of this machine can hide.
+func (f *testFleet) slotWaits() *hdrhistogram.Histogram {
+	waits := newHistogram()
+	for _, engine := range f.engines {
+		for _, run := range engine.Record.Runs() {
+			if run.Class == string(request.ClassOnline) && !run.Admitted.IsZero() {
+				_ = waits.RecordValue(max(lowestMicroseconds, run.Admitted.Sub(run.Started).Microseconds()))
+			}
+		}
+	}
+	return waits
+}
+
 const tail = 99
 
 // worstOverMedian returns the worst organisation's p99 to the first token over the median one's.
@@ -161,7 +177,7 @@
 	}
 	for _, reserve := range o.Reserves {
 		modes = append(modes, mode{
-			name:    fmt.Sprintf("steward, reserve %d", reserve),
+			name:    fmt.Sprintf("steward reserve %d", reserve),
 			reserve: reserve,
 			picker:  newOwn,
 			batch:   ownBatch,
