--- a/internal/dispatcher/item.go
+++ b/internal/dispatcher/item.go
@@ -15,8 +15,6 @@
 const (
 	// retryPause is the pause before the first retry of an item; it doubles with each.
 	retryPause = 100 * time.Millisecond
-	// distinctWait is how long an item waits for an endpoint at which it has not failed yet.
-	distinctWait = 2 * time.Second
 	// unreachedTries is how often an item tries unreachable endpoints before it is left to another process;
 	// each hop allows one more.
 	unreachedTries = 3
@@ -61,36 +59,18 @@
 	}
 }
 
-// acquire waits for a slot at an endpoint at which the item has not failed. Without one, the item is left to
-// another process, as often as it has attempts; after that, any endpoint will do.
+// acquire waits for a slot at an endpoint at which the item has not failed. If this process has none, the item is
+// left to another process, as often as it has attempts; after that, any endpoint will do.
 func (r *run) acquire(ctx context.Context, index int) (*steward.Grant, error) {
 	avoid := r.avoided(index)
-	capacity := r.dispatcher.capacity
-	if len(avoid) == 0 {
-		return capacity.Acquire(ctx, r.active.Service, nil)
-	}
-	short, cancel := context.WithTimeout(ctx, distinctWait)
-	defer cancel()
-	// The grant outlives the wait, so it is asked for with a context of its own.
-	grant, err := acquireWithin(short, ctx, capacity, r.active, avoid)
-	if err == nil || ctx.Err() != nil {
-		return grant, err
-	}
-	if r.lot.Remainder+r.lot.Hops < r.policy.Attempts {
-		return nil, errNoEndpoint
-	}
-	return capacity.Acquire(ctx, r.active.Service, nil)
-}
-
-func acquireWithin(short, ctx context.Context, capacity Capacity, active job.ActiveRow, avoid map[endpoint.ID]bool) (*steward.Grant, error) {
-	granted, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(short, cancel)
-	grant, err := capacity.Acquire(granted, active.Service, avoid)
+	grant, err := r.dispatcher.capacity.Acquire(ctx, r.active.Service, avoid)
 	if err != nil {
-		cancel()
 		return nil, err
 	}
-	stop()
+	if avoid[grant.Endpoint.ID] && r.lot.Remainder+r.lot.Hops < r.policy.Attempts {
+		grant.Release()
+		return nil, errNoEndpoint
+	}
 	return grant, nil
 }
 
@@ -119,6 +99,7 @@
 	r.stop(index)
 	if err == nil {
 		r.setResult(index, result, time.Since(started))
+		r.dispatcher.itemEnded(r.active.Service)
 		return failure{}, true
 	}
 	if grant.Context().Err() != nil {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -14,6 +14,7 @@
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/gateway"
 	"rhubarbrudder/internal/organisation"
+	"rhubarbrudder/internal/queue"
 	"rhubarbrudder/internal/router"
 	"rhubarbrudder/internal/settings"
 	"rhubarbrudder/internal/steward"
@@ -40,6 +41,10 @@
 	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
 		return err
 	}
+	observer, err := newFirstTokens(b.status.Meter(), counters)
+	if err != nil {
+		return err
+	}
 	stall := router.Stall{
 		First:   time.Duration(s.Timing.FirstToken),
 		Between: time.Duration(s.Timing.Token),
@@ -52,14 +57,16 @@
 		return err
 	}
 	routes := router.New(picker, endpoint.NewClient(), reporter, stall, b.notes, b.log)
+	waiting := queue.New(queue.NewSlots(b.directory, tracker, b.fleet, b.follower))
 	served := gateway.New(gateway.Parts{
 		Document: b.follower,
 		Members:  b.fleet,
-		Router:   burn.NewWatch(routes, b.follower, counters),
+		Router:   burn.NewWatch(routes, b.follower, observer),
 		Jobs:     b.jobs,
 		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Calls:    calls,
-		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), counters),
+		Queue:    waiting,
+		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), observer),
 		Log:      b.log,
 	})
 	group := &run.Group{}
@@ -67,6 +74,7 @@
 		return err
 	}
 	add(group, reporter.Run)
+	add(group, waiting.Run)
 	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Caller), served.Handler()); err != nil {
 		return err
 	}
