--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -19,6 +19,7 @@
 		},
 	}
 	command.Flags().BoolVar(&options.Stay, "stay", false, "keep it up and print how to reach it")
+	command.Flags().StringVar(&options.Address, "address", "127.0.0.1", "IP number to run at")
 	command.Flags().BoolVar(&options.Verbose, "verbose", false, "print the processes' logs")
 	return command
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -29,6 +29,8 @@
 	Stay bool
 	// Verbose prints the processes' logs.
 	Verbose bool
+	// Address is the IP number to run at.
+	Address string
 	Out     io.Writer
 }
 
@@ -48,6 +50,7 @@
 	group    *errgroup.Group
 	stop     context.CancelFunc
 	folder   string
+	address  string
 }
 
 // Run runs the demo and prints what happens.
@@ -78,6 +81,7 @@
 		group:    group,
 		stop:     stop,
 		folder:   folder,
+		address:  options.Address,
 	}
 	if err := s.prepare(ctx); err != nil {
 		stop()
@@ -101,7 +105,7 @@
 		{
 			Name:          "vm-1",
 			Incarnation:   "1",
-			Address:       "127.0.0.1",
+			Address:       s.address,
 			Region:        "bayern-sued",
 			FailureDomain: "garmisch",
 			State:         platform.VMLive,
@@ -144,7 +148,7 @@
 }
 
 func (s *system) serve(ctx context.Context, handler http.Handler) (*net.TCPAddr, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", net.JoinHostPort(s.address, "0"))
 	if err != nil {
 		return nil, err
 	}
@@ -170,7 +174,7 @@
 	url := "http://" + at.String()
 	s.settings.VM = settings.VM{
 		Name:          "vm-1",
-		Address:       "127.0.0.1",
+		Address:       s.address,
 		Region:        "bayern-sued",
 		FailureDomain: "garmisch",
 	}
--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,7 +13,9 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
+	"rhubarbrudder/internal/burn"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/pkg/client"
 )
 
 // errNotReady means the system did not come up in time.
@@ -31,18 +34,21 @@
 	if err := waitReady(ctx, running); err != nil {
 		return err
 	}
-	client := openai.NewClient(option.WithBaseURL(base+"/v1/"), option.WithAPIKey(Key))
-	if err := showOnline(ctx, &client, options.Out); err != nil {
+	api := openai.NewClient(option.WithBaseURL(base+"/v1/"), option.WithAPIKey(Key))
+	if err := showOnline(ctx, &api, options.Out); err != nil {
 		return err
 	}
-	if err := showBatch(ctx, &client, options.Out); err != nil {
+	if err := showBatch(ctx, &api, options.Out); err != nil {
+		return err
+	}
+	if err := showBurn(ctx, running, options.Out); err != nil {
 		return err
 	}
 	if !options.Stay {
 		return nil
 	}
-	say(options.Out, "Base URL:        %s/v1\nKey:             %s\nOperators:       http://%s\nOperator token:  %s\nCtrl-C ends it.\n",
-		base, Key, running.settings.VM.Join(running.settings.Ports.Operator), Token)
+	say(options.Out, "Base URL:        %s/v1\nKey:             %s\nOperators:       http://%s\nOperator token:  %s\nPlatform:        %s (a stand-in; PUT /faults/table plays an outage)\nCtrl-C ends it.\n",
+		base, Key, running.settings.VM.Join(running.settings.Ports.Operator), Token, running.settings.Platform.TableURL)
 	<-ctx.Done()
 	return nil
 }
@@ -78,9 +84,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func showOnline(ctx context.Context, client *openai.Client, out io.Writer) error {
+func showOnline(ctx context.Context, api *openai.Client, out io.Writer) error {
 	say(out, "Online request, streamed:\n  ")
-	stream := client.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
+	stream := api.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
 		Model: model,
 		Messages: []openai.ChatCompletionMessageParamUnion{
 			openai.UserMessage("Is beacon 17 ready for hire?"),
@@ -96,15 +102,15 @@
 	return stream.Err()
 }
 
-func showBatch(ctx context.Context, client *openai.Client, out io.Writer) error {
-	file, err := client.Files.New(ctx, openai.FileNewParams{
+func showBatch(ctx context.Context, api *openai.Client, out io.Writer) error {
+	file, err := api.Files.New(ctx, openai.FileNewParams{
 		File:    openai.File(strings.NewReader(demoInput()), "return-sheets.jsonl", "application/jsonl"),
 		Purpose: openai.FilePurposeBatch,
 	})
 	if err != nil {
 		return err
 	}
-	batch, err := client.Batches.New(ctx, openai.BatchNewParams{
+	batch, err := api.Batches.New(ctx, openai.BatchNewParams{
 		InputFileID:      file.ID,
 		Endpoint:         openai.BatchNewParamsEndpointV1ChatCompletions,
 		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
@@ -113,7 +119,7 @@
 		return err
 	}
 	say(out, "Batch job %s accepted, %d items, one of which can never be done.\n", batch.ID, demoItems)
-	batch, err = waitBatch(ctx, client, batch.ID, out)
+	batch, err = waitBatch(ctx, api, batch.ID, out)
 	if err != nil {
 		return err
 	}
@@ -122,10 +128,10 @@
 	return nil
 }
 
-func waitBatch(ctx context.Context, client *openai.Client, id string, out io.Writer) (*openai.Batch, error) {
+func waitBatch(ctx context.Context, api *openai.Client, id string, out io.Writer) (*openai.Batch, error) {
 	deadline := time.Now().Add(jobTimeout)
 	for {
-		batch, err := client.Batches.Get(ctx, id)
+		batch, err := api.Batches.Get(ctx, id)
 		if err != nil {
 			return nil, err
 		}
@@ -140,6 +146,35 @@
 	}
 }
 
+// showBurn prints the report on service-level burn.
+func showBurn(ctx context.Context, running *system, out io.Writer) error {
+	operator := client.NewOperator(http.DefaultClient, "http://"+running.settings.VM.Join(running.settings.Ports.Operator), Token)
+	answer, err := operator.Get(ctx, "/report/burn")
+	if err != nil {
+		return err
+	}
+	var report burn.Report
+	if err := json.Unmarshal(answer, &report); err != nil {
+		return err
+	}
+	say(out, "Burn report (rhubarbrudder report burn):\n")
+	for _, row := range report.Services {
+		limit := "answered"
+		if row.LimitMilliseconds > 0 {
+			limit = fmt.Sprintf("within %d ms", row.LimitMilliseconds)
+		}
+		say(out, "  %s, %s %s: %d events, budget left %.0f %%, burn over 5 min %.2f\n",
+			row.Service, row.Objective, limit, row.Events, 100*row.BudgetLeft, row.Burn5m)
+	}
+	for _, late := range report.LateJobs {
+		say(out, "  job %s is %d s late\n", late.Job, late.LateSeconds)
+	}
+	for _, silent := range report.Silent {
+		say(out, "  no answer from %s\n", silent)
+	}
+	return nil
+}
+
 func demoInput() string {
 	var input strings.Builder
 	for i := range demoItems {
--- /dev/null
+++ b/test/product_demo_test.go
@@ -0,0 +1,32 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+// demoTarget is how long the demo may take.
+const demoTarget = time.Minute
+
+func TestDemo(t *testing.T) {
+	t.Parallel()
+	line := commandLine{
+		t: t,
+	}
+	started := time.Now()
+	got := line.run("demo", "--address", "127.114.0.1")
+	assert.Equal(t, got.code, 0, got.errOut)
+	assert.Assert(t, time.Since(started) < demoTarget)
+	for _, want := range []string{
+		"Online request, streamed:\n  w",
+		"20 items, one of which can never be done",
+		"Job completed: 19 completed, 1 failed of 20.",
+		"Results: GET /v1/files/file-output-batch_",
+		"beacon-assist, FirstToken within 710 ms: 1 events, budget left",
+	} {
+		assert.Check(t, cmp.Contains(got.out, want))
+	}
+}
