A resent batch is found before its request is checked; a due time must lie ahead

Cause: a resend with the key of an accepted job was refused as "not run" once its file had been deleted or its due time had passed, although the job was accepted: a false "not run". The job is now looked up by its key first. A due time in the past or beyond the policy's longest window, which could only be missed or bypassed the policy, is refused. An upload whose row could not be stored leaves no lots behind.

Seen failing first: without the lookup TestCallersAPI/resent_batch (404 for the resend); without the check of the due time the same test (a job due in 2020 accepted).

--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -44,17 +44,34 @@
 	})
 }
 
+// fields returns an object's fields as key=value pairs.
+func fields(object gjson.Result) string {
+	var pairs []string
+	object.ForEach(func(name, value gjson.Result) bool {
+		pairs = append(pairs, name.String()+"="+plain(value))
+		return true
+	})
+	return strings.Join(pairs, " ")
+}
+
 // plain returns a value as a person reads it.
 func plain(value gjson.Result) string {
 	if value.Type == gjson.Number && strings.Contains(value.Raw, ".") {
 		return strconv.FormatFloat(value.Num, 'f', 3, 64)
 	}
-	if !value.IsArray() {
+	switch {
+	case value.Type == gjson.Null:
+		return "none"
+	case value.Get("VM").Exists() && value.Get("Role").Exists():
+		return value.Get("Role").String() + "/" + value.Get("VM").String()
+	case value.IsObject():
+		return fields(value)
+	case !value.IsArray():
 		return value.String()
 	}
 	parts := make([]string, 0, len(value.Array()))
 	for _, part := range value.Array() {
-		parts = append(parts, part.String())
+		parts = append(parts, plain(part))
 	}
 	if len(parts) == 0 {
 		return "none"
--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -64,11 +65,21 @@
 	if err := json.Unmarshal(data, &body); err != nil {
 		return request.Invalid("invalid_body", err.Error())
 	}
+	hash := document.HashOf(string(data))
+	if key := c.r.Header.Get(headerIdempotencyKey); key != "" {
+		found, err := g.resent(c, key, hash)
+		if !errors.Is(err, job.ErrNotFound) {
+			if err != nil {
+				return err
+			}
+			return g.writeBatch(c, found)
+		}
+	}
 	made, err := g.newJob(c, body)
 	if err != nil {
 		return err
 	}
-	made.BodyHash = document.HashOf(string(data))
+	made.BodyHash = hash
 	stored, err := g.jobs.Create(c.r.Context(), made)
 	if err != nil {
 		return err
@@ -77,6 +88,16 @@
 	return g.writeBatch(c, stored)
 }
 
+// resent returns the job that an earlier request with the key made. It comes before any check of the request: what was
+// accepted stays accepted when its file is deleted, its due time passes or the policy changes.
+func (g *Gateway) resent(c *caller, key string, hash document.Hash) (job.Job, error) {
+	found, err := g.jobs.Job(c.r.Context(), c.organisation, job.IDFor(c.organisation, key))
+	if err == nil && found.BodyHash != hash {
+		return job.Job{}, job.ErrKeyReused
+	}
+	return found, err
+}
+
 func (g *Gateway) newJob(c *caller, body createBatchBody) (job.Job, error) {
 	file, err := g.jobs.File(c.r.Context(), c.organisation, job.FileID(body.InputFileID))
 	if err != nil {
@@ -118,6 +139,10 @@
 		if err != nil {
 			return job.Job{}, request.Invalid("invalid_due", dueKey+" must be a time in RFC 3339")
 		}
+		longest := now.Add(time.Duration(c.view.Policy.MaximumWindowHours) * time.Hour)
+		if !made.Due.After(now) || made.Due.After(longest) {
+			return job.Job{}, request.Invalid("invalid_due", dueKey+" must be after now and before "+longest.Format(time.RFC3339))
+		}
 	}
 	return made, nil
 }
--- a/internal/gateway/file.go
+++ b/internal/gateway/file.go
@@ -66,6 +66,9 @@
 			return err
 		}
 		if err := g.jobs.PutFile(c.r.Context(), file); err != nil {
+			if !errors.Is(err, job.ErrUnknown) {
+				g.discard(c, intake)
+			}
 			return err
 		}
 		g.log.Info("file accepted", "request", c.id, "organisation", c.organisation, "file", file.ID, "items", file.Items, "lots", file.Lots)
--- a/test/product_api_test.go
+++ b/test/product_api_test.go
@@ -44,6 +44,7 @@
 	}
 	t.Run("completions", api.completions)
 	t.Run("files and batches", api.batches)
+	t.Run("resent batch", api.resent)
 	t.Run("other organisation", api.strangers)
 	t.Run("bad input", api.badInput)
 	t.Run("logs hold no prompt and no key", api.logs)
@@ -129,6 +130,40 @@
 	assert.Equal(t, strings.Count(content(t, a.client, batch.OutputFileID), "\n"), 5)
 }
 
+// resent makes a job again, after its file was deleted, and others that can't be made.
+func (a callersAPI) resent(t *testing.T) {
+	ctx := context.Background()
+	made := submit(t, a.client, batchInput(1, 1, func(int) string { return secretPrompt }))
+	create := func(key, due string) (*openai.Batch, error) {
+		params := openai.BatchNewParams{
+			InputFileID:      made.InputFileID,
+			Endpoint:         openai.BatchNewParamsEndpointV1ChatCompletions,
+			CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+		}
+		if due != "" {
+			params.Metadata = map[string]string{"due_at": due}
+		}
+		return a.client.Batches.New(ctx, params, option.WithHeader("Idempotency-Key", key))
+	}
+	first, err := create("evening", "")
+	assert.NilError(t, err)
+	_, err = create("late", "2020-01-01T00:00:00Z")
+	assert.Equal(t, statusOf(err), http.StatusBadRequest)
+	_, err = create("far", "2199-01-01T00:00:00Z")
+	assert.Equal(t, statusOf(err), http.StatusBadRequest)
+	_, err = a.client.Files.Delete(ctx, made.InputFileID)
+	assert.NilError(t, err)
+	again, err := create("evening", "")
+	assert.NilError(t, err)
+	assert.Equal(t, again.ID, first.ID)
+	_, err = create("evening", "2199-01-01T00:00:00Z")
+	assert.Equal(t, statusOf(err), http.StatusConflict)
+	_, err = create("another", "")
+	assert.Equal(t, statusOf(err), http.StatusNotFound)
+	batch := waitStatus(t, a.client, first.ID, openai.BatchStatusCompleted)
+	assert.Equal(t, batch.RequestCounts.Completed, int64(1))
+}
+
 func statusOf(err error) int {
 	var failed *openai.Error
 	if errors.As(err, &failed) {
