--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -134,17 +135,65 @@
 		Created:      now,
 		Due:          now.Add(window),
 	}
-	if due, given := body.Metadata[dueKey]; given {
-		made.Due, err = time.Parse(time.RFC3339, due)
-		if err != nil {
-			return job.Job{}, request.Invalid("invalid_due", dueKey+" must be a time in RFC 3339")
-		}
-		longest := now.Add(time.Duration(c.view.Policy.MaximumWindowHours) * time.Hour)
-		if !made.Due.After(now) || made.Due.After(longest) {
-			return job.Job{}, request.Invalid("invalid_due", dueKey+" must be after now and before "+longest.Format(time.RFC3339))
-		}
+	made.Due, err = parseDue(body.Metadata, made.Due, now, longestWindow(c.view.Policy))
+	return made, err
+}
+
+// parseDue returns the due time that the metadata asks for. One that has passed can't be met for certain; whether a
+// later one can is reported while the job runs.
+func parseDue(metadata map[string]string, due, now time.Time, longest time.Duration) (time.Time, error) {
+	given, ok := metadata[dueKey]
+	if !ok {
+		return due, nil
 	}
-	return made, nil
+	asked, err := time.Parse(time.RFC3339, given)
+	if err != nil {
+		return due, request.Invalid("invalid_due", dueKey+" must be a time in RFC 3339")
+	}
+	if !asked.After(now) {
+		return due, request.Invalid("due_unreachable", "the due time has passed")
+	}
+	if asked.Sub(now) > longest {
+		return due, request.Invalid("invalid_due", "the due time must come within "+longest.String())
+	}
+	return asked, nil
+}
+
+const (
+	// riskKey is the key of a running batch's metadata that tells whether its due time is at risk.
+	riskKey = "due_risk"
+	// riskLeast is how long a job must have run before its rate says anything.
+	riskLeast = 10 * time.Second
+)
+
+// dueRisk returns how a running job stands to its due time: OnTime, AtRisk or Late.
+func dueRisk(found job.Job, counts job.Counts, now time.Time) string {
+	done := counts.Completed + counts.Failed
+	ran := now.Sub(found.Created)
+	switch {
+	case now.After(found.Due):
+		return "Late"
+	case ran < riskLeast:
+		return "OnTime"
+	case done == 0 && ran > found.Due.Sub(now):
+		return "AtRisk"
+	case done > 0 && time.Duration(float64(ran)/float64(done)*float64(found.Items-done)) > found.Due.Sub(now):
+		return "AtRisk"
+	}
+	return "OnTime"
+}
+
+// metadataOf returns the caller's metadata, with the risk of a job that runs.
+func metadataOf(found job.Job, counts job.Counts) map[string]string {
+	if found.State != job.StateRunning {
+		return found.Metadata
+	}
+	metadata := maps.Clone(found.Metadata)
+	if metadata == nil {
+		metadata = map[string]string{}
+	}
+	metadata[riskKey] = dueRisk(found, counts, time.Now())
+	return metadata
 }
 
 // batchService returns the service that a job's items go to.
@@ -173,12 +222,16 @@
 	return "/" + path
 }
 
+func longestWindow(policy document.Policy) time.Duration {
+	return time.Duration(policy.MaximumWindowHours) * time.Hour
+}
+
 func parseWindow(window string, policy document.Policy) (time.Duration, error) {
 	if window == "" {
 		window = "24h"
 	}
 	parsed, err := time.ParseDuration(window)
-	longest := time.Duration(policy.MaximumWindowHours) * time.Hour
+	longest := longestWindow(policy)
 	if err != nil || parsed <= 0 || parsed > longest {
 		return 0, request.Invalid("invalid_window", fmt.Sprintf("completion_window must be a time such as 24h, at most %s", longest))
 	}
@@ -219,7 +272,7 @@
 			Completed: counts.Completed,
 			Failed:    counts.Failed,
 		},
-		Metadata: found.Metadata,
+		Metadata: metadataOf(found, counts),
 	}
 	if counts.Failed > 0 {
 		body.ErrorFileID = errorPrefix + string(found.ID)
--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -35,7 +35,9 @@
 	if err := b.server.Register("Steward", steward.NewService(stewards)); err != nil {
 		return err
 	}
-	sessions := lease.New(b.table, string(s.VM.Name), time.Duration(s.Timing.SessionTerm), b.log)
+	sessions := lease.New(b.table, string(s.VM.Name), time.Duration(s.Timing.SessionTerm), func() int {
+		return len(b.fleet.Alive(fleet.RoleDispatcher))
+	}, b.log)
 	counted, err := newCountedJobs(b.status.Meter(), b.jobs)
 	if err != nil {
 		return err
@@ -46,6 +48,7 @@
 		Capacity: stewards,
 		Sender:   sender,
 		Document: b.follower,
+		Members:  b.fleet,
 		Notes:    b.notes,
 		Log:      b.log,
 	})
