--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"rhubarbrudder/internal/burn"
 	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/queue"
 	"rhubarbrudder/internal/request"
 	"rhubarbrudder/internal/router"
 )
@@ -294,3 +296,61 @@
 		})
 	}
 }
+
+// slowQueue lets requests in after a wait, or refuses them.
+type slowQueue struct {
+	wait time.Duration
+	err  error
+}
+
+func (q slowQueue) Enter(context.Context, queue.Place) (func(), error) {
+	time.Sleep(q.wait)
+	return func() {}, q.err
+}
+
+// TestWaitCounts lets a request wait for a slot longer than the objective, and be refused.
+func TestWaitCounts(t *testing.T) {
+	const limit = 20
+	cases := map[string]struct {
+		queue  slowQueue
+		counts burn.Counts
+	}{
+		"late by waiting": {
+			queue:  slowQueue{wait: 2 * limit * time.Millisecond},
+			counts: burn.Counts{Answers: 1, First: 1, SlowFirst: 1, Tokens: 2},
+		},
+		"refused, full": {
+			queue:  slowQueue{err: queue.ErrFull},
+			counts: burn.Counts{Refused: 1},
+		},
+		"refused, late": {
+			queue:  slowQueue{err: queue.ErrLate},
+			counts: burn.Counts{Refused: 1},
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			counters := burn.NewCounters(time.Now)
+			doc := &view{services: map[document.ServiceName]document.Service{
+				"beacon-assist": {FirstTokenMilliseconds: limit},
+			}}
+			waiting := burn.NewWatchQueue(tt.queue, counters)
+			watch := burn.NewWatch(played{}, doc, counters)
+			handler := burn.Stamped(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, err := waiting.Enter(r.Context(), queue.Place{
+					Organisation: "wenber",
+					Service:      "beacon-assist",
+				})
+				if err != nil {
+					return
+				}
+				assert.NilError(t, watch.Do(r.Context(), request.Request{
+					Organisation: "wenber",
+					Service:      "beacon-assist",
+				}, &request.Ticket{}, nowhere{}))
+			}))
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil))
+			assert.Equal(t, counters.Counts(burn.Query{Most: 1}).Organisations[0].Windows[0], tt.counts)
+		})
+	}
+}
--- a/internal/burn/watch.go
+++ b/internal/burn/watch.go
@@ -48,7 +48,7 @@
 	service := w.document.View().Services[req.Service]
 	timed := &timedSink{
 		Sink:    sink,
-		started: time.Now(),
+		started: since(ctx),
 		between: time.Duration(service.TokenMilliseconds) * time.Millisecond,
 	}
 	err := w.router.Do(ctx, req, ticket, timed)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -65,7 +65,7 @@
 		Jobs:     b.jobs,
 		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Calls:    calls,
-		Queue:    waiting,
+		Queue:    burn.NewWatchQueue(waiting, observer),
 		Limiter:  burn.NewWatchLimiter(organisation.NewLimiter(), observer),
 		Log:      b.log,
 	})
@@ -75,7 +75,7 @@
 	}
 	add(group, reporter.Run)
 	add(group, waiting.Run)
-	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Caller), served.Handler()); err != nil {
+	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Caller), burn.Stamped(served.Handler())); err != nil {
 		return err
 	}
 	b.status.SetReady(true)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -151,6 +153,21 @@
 	}
 }
 
+// TestEveryFieldIsDocumented looks for each field's name on the page of settings.
+func TestEveryFieldIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	sections := reflect.TypeFor[settings.Settings]()
+	for i := range sections.NumField() {
+		section := sections.Field(i)
+		for k := range section.Type.NumField() {
+			field := section.Type.Field(k).Name
+			found := strings.Contains(string(page), "`"+section.Name+"."+field+"`") || strings.Contains(string(page), ", `"+field+"`")
+			assert.Assert(t, found, "%s.%s", section.Name, field)
+		}
+	}
+}
+
 // FuzzParse looks for input that breaks the parser, and for settings that do not survive being written and read.
 func FuzzParse(f *testing.F) {
 	f.Add(valid)
--- a/test/product_report_test.go
+++ b/test/product_report_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -80,3 +82,41 @@
 	text := line.controller("report", "burn")
 	assert.Assert(t, strings.Contains(text.out, "Silent: Gateway/vm-1"), text.out)
 }
+
+// TestOverloadIsReported sends more than the endpoints have room for, and compares the report with what callers saw.
+func TestOverloadIsReported(t *testing.T) {
+	t.Parallel()
+	const requests = 40
+	options := defaultCluster(116)
+	options.vms = 1
+	options.engine.Slots = 4
+	options.engine.TokenInterval = 20 * time.Millisecond
+	options.service = func(service *document.Service) {
+		service.QueueMilliseconds = 300
+	}
+	c := newCluster(t, options)
+	var group sync.WaitGroup
+	var refused atomic.Int64
+	for i := range requests {
+		group.Go(func() {
+			if _, err := ask(c.client(0), fmt.Sprintf("question %d", i), 20); err != nil {
+				refused.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, refused.Load() > 0)
+	line := commandLine{
+		t: t,
+		c: c,
+	}
+	printed := line.controller("report", "burn", "--output", "json")
+	var report burn.Report
+	assert.NilError(t, json.Unmarshal([]byte(printed.out), &report))
+	at := slices.IndexFunc(report.Services, func(row burn.Row) bool {
+		return row.Service == "beacon-assist" && row.Objective == burn.ObjectiveAnswer
+	})
+	assert.Assert(t, at >= 0, printed.out)
+	assert.Equal(t, report.Services[at].Events, uint64(requests))
+	assert.Equal(t, int64(math.Round(report.Services[at].Burn5m*requests*0.001)), refused.Load(), printed.out)
+}
