Steward: say at once when every own endpoint is to be avoided

Ruled out: making the steward lax again, which sends an item back to the endpoint it fails at. Acquire now returns ErrAvoided; after its last hop an item avoids nothing.

--- a/internal/dispatcher/item.go
+++ b/internal/dispatcher/item.go
@@ -63,15 +63,14 @@
 // left to another process, as often as it has attempts; after that, any endpoint will do.
 func (r *run) acquire(ctx context.Context, index int) (*steward.Grant, error) {
 	avoid := r.avoided(index)
-	grant, err := r.dispatcher.capacity.Acquire(ctx, r.active.Service, avoid)
-	if err != nil {
-		return nil, err
+	if r.lot.Remainder+r.lot.Hops >= r.policy.Attempts {
+		avoid = nil
 	}
-	if avoid[grant.Endpoint.ID] && r.lot.Remainder+r.lot.Hops < r.policy.Attempts {
-		grant.Release()
+	grant, err := r.dispatcher.capacity.Acquire(ctx, r.active.Service, avoid)
+	if errors.Is(err, steward.ErrAvoided) {
 		return nil, errNoEndpoint
 	}
-	return grant, nil
+	return grant, err
 }
 
 // avoided returns the endpoints at which the item failed.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -74,15 +74,23 @@
 	g.steward.release(g)
 }
 
-// waiter is an Acquire that waits for a slot; it is sent nil if other processes own all endpoints.
+// waiter is an Acquire that waits for a slot; it is sent nil, with err set, if it waits in vain.
 type waiter struct {
 	ctx     context.Context
 	avoid   map[endpoint.ID]bool
 	granted chan *Grant
+	err     error
+}
+
+// refuse ends a wait in vain.
+func (w *waiter) refuse(err error) {
+	w.err = err
+	w.granted <- nil
 }
 
 // Acquire waits for an idle slot of the service at an endpoint that is not in avoid.
-// ErrNotOwner means that other processes are the stewards of all the service's endpoints.
+// ErrNotOwner means that other processes are the stewards of all the service's endpoints, and ErrAvoided that
+// they are of all those that are not in avoid.
 func (s *Steward) Acquire(ctx context.Context, service document.ServiceName, avoid map[endpoint.ID]bool) (*Grant, error) {
 	w := &waiter{
 		ctx:     ctx,
@@ -96,7 +104,7 @@
 	select {
 	case grant := <-w.granted:
 		if grant == nil {
-			return nil, ErrNotOwner
+			return nil, w.err
 		}
 		return grant, nil
 	case <-ctx.Done():
@@ -177,10 +185,25 @@
 		if len(w.avoid) == 0 {
 			return
 		}
+		if allAvoided(owned, w.avoid) {
+			s.remove(service, w)
+			w.refuse(ErrAvoided)
+			continue
+		}
 		i++
 	}
 }
 
+// allAvoided reports whether there are endpoints, all of which are to be avoided.
+func allAvoided(owned []endpoint.Endpoint, avoid map[endpoint.ID]bool) bool {
+	for _, candidate := range owned {
+		if !avoid[candidate.ID] {
+			return false
+		}
+	}
+	return len(owned) > 0
+}
+
 // idlest returns the endpoint with the most free slots, or one at which a floor grant is owed.
 func (s *Steward) idlest(owned []endpoint.Endpoint, avoid map[endpoint.ID]bool, settings document.Service, now time.Time) (best endpoint.Endpoint, floor, ok bool) {
 	most := 0
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -89,7 +89,7 @@
 		return
 	}
 	for _, w := range s.waiting[service] {
-		w.granted <- nil
+		w.refuse(ErrNotOwner)
 	}
 	s.waiting[service] = nil
 }
