--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -39,8 +39,12 @@
 	sessions := lease.New(b.table, string(s.VM.Name), time.Duration(s.Timing.SessionTerm), func() int {
 		return len(b.fleet.Alive(fleet.RoleDispatcher))
 	}, b.log)
+	counted, err := newCountedJobs(b.status.Meter(), b.jobs)
+	if err != nil {
+		return err
+	}
 	worker := dispatcher.New(dispatcher.Parts{
-		Store:    b.jobs,
+		Store:    counted,
 		Sessions: sessions,
 		Capacity: stewards,
 		Sender:   sender,
