Batch: an attempt's results are never written over

Cause: the objects of a claim's results had one name a claim. When an attempt to split a lot was committed but its answers stayed lost, the work went on and the next attempt wrote the results of more items over the object that the committed row names; the remainder ran these items too. Each attempt now has names of its own; what stays behind is swept.

With single faults, as before, the model could not reach it: five attempts in a row must fail.

Also: what items read of their lot is read under the lock.

--- a/internal/dispatcher/item.go
+++ b/internal/dispatcher/item.go
@@ -16,7 +16,7 @@
 	// retryPause is the pause before the first retry of an item; it doubles with each.
 	retryPause = 100 * time.Millisecond
 	// unreachedTries is how often an item tries unreachable endpoints before it is left to another process;
-	// each hop allows one more.
+	// each time that the lot was handed on allows one more.
 	unreachedTries = 3
 	// onceTimeout bounds an item that may run at most once and so is never cancelled.
 	onceTimeout = 10 * time.Minute
@@ -49,7 +49,7 @@
 			return
 		}
 		pauses++
-		if cause.kind == failureUnreached && pauses > unreachedTries+r.lot.Hops {
+		if cause.kind == failureUnreached && pauses > unreachedTries+r.handedOn() {
 			r.defers(index)
 			return
 		}
@@ -67,13 +67,20 @@
 	if err != nil {
 		return nil, err
 	}
-	if avoid[grant.Endpoint.ID] && r.lot.Remainder+r.lot.Hops < r.policy.Attempts {
+	if avoid[grant.Endpoint.ID] && r.handedOn() < r.policy.Attempts {
 		grant.Release()
 		return nil, errNoEndpoint
 	}
 	return grant, nil
 }
 
+// handedOn returns how often the lot's items were handed on.
+func (r *run) handedOn() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lot.Remainder + r.lot.Hops
+}
+
 // avoided returns the endpoints at which the item failed.
 func (r *run) avoided(index int) map[endpoint.ID]bool {
 	r.mu.Lock()
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -217,7 +217,9 @@
 		r.unsaved(waiting)
 		return err
 	}
+	r.mu.Lock()
 	r.lot = lot
+	r.mu.Unlock()
 	for _, start := range waiting {
 		close(start)
 	}
--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/samber/oops"
 
 	"rhubarbrudder/internal/platform"
@@ -69,6 +70,12 @@
 	return remainder, nil
 }
 
+// attempt returns a kind of object that no other attempt uses: an attempt whose outcome is unknown may have been
+// committed, and a later one may hold other results.
+func attempt(kind string) string {
+	return kind + "-" + uuid.NewString()
+}
+
 // finished stores a lot's results and returns its row as done, which is not stored yet.
 func (s *Store) finished(ctx context.Context, id ID, lot LotRow, results []Result) (LotRow, error) {
 	var output, failed bytes.Buffer
@@ -101,7 +108,7 @@
 	if len(data) == 0 {
 		return "", nil
 	}
-	name = ResultObject(id, lot.ID, lot.Session, lot.Claim, kind)
+	name = ResultObject(id, lot.ID, lot.Session, lot.Claim, attempt(kind))
 	return name, putObject(ctx, s.objects, name, data)
 }
 
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -215,7 +215,7 @@
 	return platform.ObjectName(fmt.Sprintf("file/%s/%08d", file, number))
 }
 
-// ResultObject returns the object of a claim's results; kind is "output", "error" or "checkpoint-N".
+// ResultObject returns the object of a claim's results; kind tells output, errors and progress, and attempts, apart.
 func ResultObject(job ID, lot LotID, session lease.SessionID, claim int, kind string) platform.ObjectName {
 	return platform.ObjectName(fmt.Sprintf("result/%s/%s/%d-%s/%s", job, lot, claim, session, kind))
 }
--- a/internal/job/lot.go
+++ b/internal/job/lot.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/samber/oops"
 
@@ -151,7 +150,7 @@
 	if err != nil {
 		return "", oops.In("job").Wrap(err)
 	}
-	name := ResultObject(id, lot.ID, lot.Session, lot.Claim, kind+"-"+time.Now().UTC().Format("150405.000000"))
+	name := ResultObject(id, lot.ID, lot.Session, lot.Claim, attempt(kind))
 	return name, putObject(ctx, s.objects, name, data)
 }
 
--- a/internal/job/model_test.go
+++ b/internal/job/model_test.go
@@ -403,7 +403,7 @@
 	ended := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		fates := rapid.SliceOfN(rapid.SampledFrom([]int{fateGood, fateGood, fateGood, fateApplied, fateLost, fateRefused}), 16, 16).Draw(t, "fates")
+		fates := drawFates(t)
 		calls := 0
 		m.platform.fate = func() int {
 			calls++
@@ -435,6 +435,18 @@
 	t.Logf("%d jobs ended", ended)
 }
 
+// drawFates draws the fates of calls, each of which lasts for a while, as outages do.
+func drawFates(t *rapid.T) []int {
+	var fates []int
+	for range 8 {
+		fate := rapid.SampledFrom([]int{fateGood, fateGood, fateApplied, fateLost, fateRefused}).Draw(t, "fate")
+		for range rapid.IntRange(1, 6).Draw(t, "lasts") {
+			fates = append(fates, fate)
+		}
+	}
+	return fates
+}
+
 // drain lets one healthy worker end the job.
 func (m *model) drain(t *rapid.T) {
 	m.platform.fate = func() int { return fateGood }
