Slow callers hold nothing up

Cause: a caller that sent its body slowly, or took no answer, held a request and an endpoint's slot for as long as it liked; header size and idle time were the library's defaults. And a caller that took its answer slowly made the engine look stalled: the watch ran while the gateway was writing.

Now: Timing.Body (408 request_timeout, not run), Timing.Write a part of the answer, 64 KB of header, ten minutes idle; the watch runs only while the engine is waited for.

Seen failing first: no body limit: the slow body's answer does not come within the minute; header limit off: not 431; no write limit: the run is not cancelled within the minute (before the watch was mended this passed for the wrong reason: the watch cancelled the run).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -67,9 +67,7 @@
 }
 
 func writeAnswer(c *caller, answer call.Answer) error {
-	out := &sink{
-		w: c.w,
-	}
+	out := newSink(c)
 	if err := out.Whole(answer.Status, answer.Header, answer.Body); err != nil {
 		return errBegun
 	}
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -127,9 +127,7 @@
 	if !req.Idempotent {
 		return g.callOnce(c, req)
 	}
-	out := &sink{
-		w: c.w,
-	}
+	out := newSink(c)
 	started := time.Now()
 	err = g.router.Do(c.r.Context(), req, c.ticket, out)
 	if err != nil && out.begun {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
+	"time"
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
@@ -63,6 +65,14 @@
 	Enter(ctx context.Context, place queue.Place) (func(), error)
 }
 
+// Timeouts bound how long a slow caller holds a request up.
+type Timeouts struct {
+	// Body is for sending the whole body.
+	Body time.Duration
+	// Write is for taking one part of the answer.
+	Write time.Duration
+}
+
 // Gateway serves callers.
 type Gateway struct {
 	document Document
@@ -73,6 +83,7 @@
 	calls    Calls
 	queue    Queue
 	limiter  Limiter
+	timeouts Timeouts
 	log      *slog.Logger
 }
 
@@ -86,6 +97,7 @@
 	Calls    Calls
 	Queue    Queue
 	Limiter  Limiter
+	Timeouts Timeouts
 	Log      *slog.Logger
 }
 
@@ -100,6 +112,7 @@
 		calls:    parts.Calls,
 		queue:    parts.Queue,
 		limiter:  parts.Limiter,
+		timeouts: parts.Timeouts,
 		log:      parts.Log,
 	}
 }
@@ -132,6 +145,7 @@
 	ticket       *request.Ticket
 	organisation document.OrganisationID
 	view         *document.View
+	timeouts     Timeouts
 }
 
 // as authenticates the caller and logs how the request ended.
@@ -139,11 +153,12 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		view, fresh := g.document.Fresh()
 		c := &caller{
-			w:      w,
-			r:      r,
-			id:     request.NewID(),
-			ticket: &request.Ticket{},
-			view:   view,
+			w:        w,
+			r:        r,
+			id:       request.NewID(),
+			ticket:   &request.Ticket{},
+			view:     view,
+			timeouts: g.timeouts,
 		}
 		w.Header().Set(endpoint.HeaderRequestID, string(c.id))
 		if !fresh {
@@ -165,10 +180,16 @@
 const maxBodyBytes = 16 << 20
 
 func (c *caller) body() ([]byte, error) {
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(time.Now().Add(c.timeouts.Body))
 	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBodyBytes))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, errBodyTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, errBodyLate
+	}
+	_ = control.SetReadDeadline(time.Time{})
 	return data, err
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -18,6 +18,7 @@
 var (
 	errNotFresh       = errors.New("gateway: document not confirmed")
 	errBodyTooLarge   = request.Reject(http.StatusRequestEntityTooLarge, "body_too_large", "the body is too large")
+	errBodyLate       = request.Reject(http.StatusRequestTimeout, "request_timeout", "the body did not arrive in time")
 	errUnknownModel   = request.Reject(http.StatusNotFound, "model_not_found", "no service serves the model")
 	errUnknownService = request.Reject(http.StatusNotFound, "service_not_found", "there is no such service")
 	errStreamedCall   = errors.New("gateway: a call's answer was streamed")
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -2,14 +2,38 @@
 
 import (
 	"net/http"
+	"strconv"
+	"time"
 
 	"rhubarbrudder/internal/endpoint"
 )
 
 // sink writes an answer to the caller.
 type sink struct {
-	w     http.ResponseWriter
-	begun bool
+	w       http.ResponseWriter
+	timeout time.Duration
+	begun   bool
+}
+
+func newSink(c *caller) *sink {
+	return &sink{
+		w:       c.w,
+		timeout: c.timeouts.Write,
+	}
+}
+
+// patient bounds the next write; a caller that takes nothing holds an endpoint up.
+func (s *sink) patient() {
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(s.timeout))
+}
+
+// done lifts the bound for the connection's next request.
+func (s *sink) done(err error) error {
+	if err == nil {
+		err = http.NewResponseController(s.w).Flush()
+	}
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Time{})
+	return err
 }
 
 var (
@@ -22,9 +46,12 @@
 func (s *sink) Whole(status int, header http.Header, body []byte) error {
 	s.begun = true
 	copyHeader(s.w.Header(), header)
+	s.patient()
+	header = s.w.Header()
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	s.w.WriteHeader(status)
 	_, err := s.w.Write(body)
-	return err
+	return s.done(err)
 }
 
 // Begin writes the head of a streamed answer.
@@ -43,6 +70,7 @@
 	event = append(event, eventStart...)
 	event = append(event, data...)
 	event = append(event, eventEnd...)
+	s.patient()
 	if _, err := s.w.Write(event); err != nil {
 		return err
 	}
@@ -51,8 +79,9 @@
 
 // End writes the end marker.
 func (s *sink) End() error {
+	s.patient()
 	_, err := s.w.Write(streamEnd)
-	return err
+	return s.done(err)
 }
 
 // copyHeader copies what of an endpoint's header is for the caller.
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -150,6 +150,13 @@
 // headerTimeout bounds how long a client may take to send a request's header.
 const headerTimeout = 10 * time.Second
 
+const (
+	// idleTimeout is how long a connection without requests stays open, longer than balancers keep theirs.
+	idleTimeout = 10 * time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+)
+
 // serveHTTP adds an HTTP server for callers or operators, which drain shuts down.
 func (b *base) serveHTTP(group *run.Group, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
@@ -164,6 +171,8 @@
 		server: &http.Server{
 			Handler:           requests.Wrap(handler),
 			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 		},
 		done: make(chan struct{}),
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -49,11 +49,8 @@
 		First:   time.Duration(s.Timing.FirstToken),
 		Between: time.Duration(s.Timing.Token),
 	}
-	calls := call.New(b.table, b.objects, b.peers, call.Owner{
-		Member:  b.self.ID(),
-		Address: b.self.Address,
-	}, b.log)
-	if err := b.server.Register("Call", call.NewService(calls)); err != nil {
+	calls, err := newCalls(b)
+	if err != nil {
 		return err
 	}
 	routes := router.New(picker, endpoint.NewClient(), reporter, stall, b.notes, b.log)
@@ -71,7 +68,11 @@
 		Calls:    calls,
 		Queue:    waiting,
 		Limiter:  burn.NewWatchLimiter(limiter, observer),
-		Log:      b.log,
+		Timeouts: gateway.Timeouts{
+			Body:  time.Duration(s.Timing.Body),
+			Write: time.Duration(s.Timing.Write),
+		},
+		Log: b.log,
 	})
 	group := &run.Group{}
 	if err := b.common(ctx, group, at); err != nil {
@@ -93,3 +94,12 @@
 	calls.Wait(stored)
 	return nil
 }
+
+// newCalls returns the gateway's calls, which answer peers too.
+func newCalls(b *base) (*call.Calls, error) {
+	calls := call.New(b.table, b.objects, b.peers, call.Owner{
+		Member:  b.self.ID(),
+		Address: b.self.Address,
+	}, b.log)
+	return calls, b.server.Register("Call", call.NewService(calls))
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -106,7 +106,7 @@
 	}
 	for {
 		data, err := answer.Next()
-		watch.token()
+		watch.stop()
 		if errors.Is(err, io.EOF) || (err != nil && a.textWhole()) {
 			return a.finish()
 		}
@@ -116,6 +116,7 @@
 		if err := a.passEvent(answer.Header, data); err != nil {
 			return err
 		}
+		watch.again()
 	}
 }
 
@@ -264,7 +265,8 @@
 	}
 }
 
-func (w *stallWatch) token() {
+// again waits for the next event; the time that a slow caller takes for one is not the engine's.
+func (w *stallWatch) again() {
 	if w != nil {
 		w.timer.Reset(w.between)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,9 @@
 	// two, until its answer counts as broken.
 	FirstToken Duration
 	Token      Duration
+	// Body is how long a caller may take to send a request's body, and Write how long to take a part of its answer.
+	Body  Duration
+	Write Duration
 }
 
 // Log says what is logged.
@@ -133,6 +136,8 @@
 			Drain:        Duration(5 * time.Second),
 			FirstToken:   Duration(30 * time.Second),
 			Token:        Duration(10 * time.Second),
+			Body:         Duration(30 * time.Second),
+			Write:        Duration(30 * time.Second),
 		},
 		Log: Log{
 			Level: "Info",
--- a/test/online_whole_test.go
+++ b/test/online_whole_test.go
@@ -22,7 +22,7 @@
 func newOnlineCluster(t *testing.T, options clusterOptions) *cluster {
 	t.Helper()
 	options.roles = []fleet.Role{fleet.RoleGateway}
-	options.engine.TokenInterval = 2 * time.Millisecond
+	options.engine.TokenInterval = min(options.engine.TokenInterval, 2*time.Millisecond)
 	customise := options.customise
 	options.customise = func(s *settings.Settings) {
 		s.Timing.FirstToken = settings.Duration(time.Second)
