--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -78,7 +78,7 @@
 
 // cluster is the platform and endpoints played in the test's process, and the system's processes.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	options   clusterOptions
 	platform  *standin.Platform
 	engines   []*standin.Engine
@@ -111,7 +111,7 @@
 }
 
 // newCluster starts everything and waits until all processes are ready.
-func newCluster(t *testing.T, options clusterOptions) *cluster {
+func newCluster(t testing.TB, options clusterOptions) *cluster {
 	t.Helper()
 	c := &cluster{
 		t:         t,
@@ -435,7 +435,7 @@
 }
 
 // waitFor waits until the condition holds and fails the test after the limit.
-func waitFor(t *testing.T, what string, limit time.Duration, holds func() bool) {
+func waitFor(t testing.TB, what string, limit time.Duration, holds func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for !holds() {
--- /dev/null
+++ b/test/online_bench_test.go
@@ -0,0 +1,131 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/loadtest"
+	"rhubarbrudder/internal/standin"
+)
+
+// clockTicks is how many ticks a second /proc counts processor time in.
+const clockTicks = 100
+
+// processorTime returns the processor time that a process has used.
+func (c *cluster) processorTime(b *testing.B, role fleet.Role, vm int) time.Duration {
+	b.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.processes[processName(role, vm)].command.Process.Pid))
+	assert.NilError(b, err)
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	user, err := strconv.Atoi(fields[11])
+	assert.NilError(b, err)
+	system, err := strconv.Atoi(fields[12])
+	assert.NilError(b, err)
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
+// BenchmarkAddedLatency compares requests through a gateway with the same requests to the engine itself.
+func BenchmarkAddedLatency(b *testing.B) {
+	for i, rate := range []float64{100, 1000} {
+		b.Run(fmt.Sprintf("%.0f a second", rate), func(b *testing.B) {
+			options := defaultCluster(60 + i)
+			options.vms = 1
+			options.roles = []fleet.Role{fleet.RoleGateway}
+			options.engines = 1
+			options.engine = standin.DefaultEngineOptions()
+			options.engine.Slots = 10000
+			options.engine.TokenInterval = time.Millisecond
+			options.engine.PrefillPerWord = 0
+			c := newCluster(b, options)
+			run := func(url string) *loadtest.Report {
+				return loadtest.Run(b.Context(), loadtest.Options{
+					URL:     url,
+					Key:     testKey,
+					Model:   testModel,
+					PerSec:  rate,
+					Seconds: 3,
+					Tokens:  4,
+				})
+			}
+			run(c.gatewayURL(0))
+			var added []float64
+			var processor time.Duration
+			sent := 0
+			for b.Loop() {
+				direct := run("http://" + c.address(101, 8000))
+				before := c.processorTime(b, fleet.RoleGateway, 0)
+				through := run(c.gatewayURL(0))
+				processor += c.processorTime(b, fleet.RoleGateway, 0) - before
+				sent += through.Sent
+				assert.Equal(b, through.Broken+through.Refused, 0)
+				added = append(added, float64(through.FirstToken.ValueAtQuantile(99)-direct.FirstToken.ValueAtQuantile(99)))
+				b.ReportMetric(float64(through.FirstToken.ValueAtQuantile(50)-direct.FirstToken.ValueAtQuantile(50)), "added-p50-us")
+				b.ReportMetric(float64(through.FirstToken.ValueAtQuantile(99))/float64(direct.FirstToken.ValueAtQuantile(99)), "p99-ratio")
+			}
+			slices.Sort(added)
+			b.ReportMetric(added[len(added)/2], "added-p99-us")
+			b.ReportMetric(float64(processor.Microseconds())/float64(sent), "cpu-us/request")
+		})
+	}
+}
+
+// BenchmarkFlood compares a caller's latency alone with that beside an organisation that floods every gateway.
+func BenchmarkFlood(b *testing.B) {
+	const flood = 400
+	options := defaultCluster(62)
+	options.roles = []fleet.Role{fleet.RoleGateway, fleet.RoleDispatcher}
+	options.engines = 4
+	options.engine.Slots = 16
+	options.engine.TokenInterval = 5 * time.Millisecond
+	options.engine.FullBatchSlowdown = 0
+	options.organisations = map[document.OrganisationID]document.Organisation{
+		"flood": testOrganisation("flood-key"),
+	}
+	c := newCluster(b, options)
+	quiet := func() *loadtest.Report {
+		return loadtest.Run(b.Context(), loadtest.Options{
+			URL:     c.gatewayURL(0),
+			Key:     testKey,
+			Model:   testModel,
+			PerSec:  50,
+			Seconds: 5,
+			Tokens:  20,
+		})
+	}
+	quiet()
+	for b.Loop() {
+		alone := quiet()
+		ctx, cancel := context.WithCancel(b.Context())
+		var group sync.WaitGroup
+		asked := completions["chat streamed"]
+		for i := range flood {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					_, _, _ = c.post(ctx, i%options.vms, asked.path(), asked.body("flood"), map[string]string{
+						"Authorization": "Bearer flood-key",
+					})
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		flooded := quiet()
+		cancel()
+		group.Wait()
+		b.ReportMetric(float64(alone.FirstToken.ValueAtQuantile(99)), "alone-p99-us")
+		b.ReportMetric(float64(flooded.FirstToken.ValueAtQuantile(99)), "flooded-p99-us")
+		b.ReportMetric(float64(flooded.FirstToken.ValueAtQuantile(99))/float64(alone.FirstToken.ValueAtQuantile(99)), "p99-ratio")
+		b.ReportMetric(float64(flooded.Refused+flooded.Broken), "refused")
+	}
+}
