--- a/internal/request/progress.go
+++ b/internal/request/progress.go
@@ -37,26 +37,56 @@
 	created      int64
 }
 
-// ParseChunk reads one event's data.
+// ParseChunk reads one event's data, or a whole answer that is not streamed.
 func ParseChunk(data []byte) (Chunk, error) {
 	if !gjson.ValidBytes(data) {
 		return Chunk{}, ErrNotJSON
 	}
-	root := gjson.ParseBytes(data)
-	choice := root.Get("choices.0")
-	text := choice.Get("delta.content")
-	if !text.Exists() {
-		text = choice.Get("text")
-	}
-	return Chunk{
-		ID:           root.Get("id").String(),
-		Text:         text.String(),
-		Finish:       choice.Get("finish_reason").String(),
-		Usage:        !choice.Exists() && root.Get("usage").IsObject(),
-		promptTokens: root.Get("usage.prompt_tokens").Int(),
-		model:        root.Get("model").String(),
-		created:      root.Get("created").Int(),
-	}, nil
+	chunk := Chunk{}
+	choice := false
+	usage := false
+	// One pass over the fields costs less than a search for each.
+	gjson.ParseBytes(data).ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "id":
+			chunk.ID = value.String()
+		case "model":
+			chunk.model = value.String()
+		case "created":
+			chunk.created = value.Int()
+		case "choices":
+			choice = chunk.readChoice(value)
+		case "usage":
+			usage = value.IsObject()
+			chunk.promptTokens = value.Get("prompt_tokens").Int()
+		}
+		return true
+	})
+	chunk.Usage = usage && !choice
+	return chunk, nil
+}
+
+// readChoice takes in the first choice and reports whether there is one.
+func (c *Chunk) readChoice(choices gjson.Result) bool {
+	found := false
+	choices.ForEach(func(_, choice gjson.Result) bool {
+		found = true
+		choice.ForEach(func(key, value gjson.Result) bool {
+			switch key.Str {
+			case "delta":
+				if content := value.Get("content"); content.Exists() {
+					c.Text = content.String()
+				}
+			case "text":
+				c.Text = value.String()
+			case "finish_reason":
+				c.Finish = value.String()
+			}
+			return true
+		})
+		return false
+	})
+	return found
 }
 
 // Belongs reports whether the chunk is of the request.
--- /dev/null
+++ b/internal/request/progress_test.go
@@ -0,0 +1,99 @@
+package request_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/request"
+)
+
+func TestParseChunk(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		data   string
+		text   string
+		finish string
+		usage  bool
+		err    error
+	}{
+		"chat": {
+			data: `{"id":"chatcmpl-1","choices":[{"index":0,"delta":{"role":"assistant","content":"a "},"finish_reason":null}],"usage":null}`,
+			text: "a ",
+		},
+		"text": {
+			data: `{"id":"cmpl-1","choices":[{"text":"a ","finish_reason":null}]}`,
+			text: "a ",
+		},
+		"finish": {
+			data:   `{"id":"cmpl-1","choices":[{"delta":{},"finish_reason":"stop"}]}`,
+			finish: "stop",
+		},
+		"usage alone": {
+			data:  `{"id":"cmpl-1","choices":[],"usage":{"prompt_tokens":7}}`,
+			usage: true,
+		},
+		"usage beside a choice": {
+			data: `{"usage":{"prompt_tokens":7},"choices":[{"text":"a"}],"id":"cmpl-1"}`,
+			text: "a",
+		},
+		"no JSON": {
+			data: `{"id":`,
+			err:  request.ErrNotJSON,
+		},
+		"no object": {
+			data: `[]`,
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			chunk, err := request.ParseChunk([]byte(tt.data))
+			assert.ErrorIs(t, err, tt.err)
+			assert.Equal(t, chunk.Text, tt.text)
+			assert.Equal(t, chunk.Finish, tt.finish)
+			assert.Equal(t, chunk.Usage, tt.usage)
+			assert.Equal(t, chunk.Belongs("1"), tt.err == nil && name != "no object")
+		})
+	}
+}
+
+// TestOnlyAnUnsentRequestIsNotRun lets a ticket make and vouch for refusals at each step of a request.
+func TestOnlyAnUnsentRequestIsNotRun(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		steps  func(ticket *request.Ticket)
+		notRun bool
+	}{
+		"arrived": {
+			steps:  func(*request.Ticket) {},
+			notRun: true,
+		},
+		"sent": {
+			steps: func(ticket *request.Ticket) { ticket.Dispatch() },
+		},
+		"not sent after all": {
+			steps: func(ticket *request.Ticket) {
+				ticket.Dispatch()
+				ticket.Undispatch()
+			},
+			notRun: true,
+		},
+		"sent, then not sent": {
+			steps: func(ticket *request.Ticket) {
+				ticket.Dispatch()
+				ticket.Dispatch()
+				ticket.Undispatch()
+			},
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			ticket := &request.Ticket{}
+			tt.steps(ticket)
+			assert.Equal(t, ticket.Refuse(http.StatusBadGateway, "code", "", 0).NotRun(), tt.notRun)
+			assert.Equal(t, ticket.Vouch(request.Invalid("code", "")).NotRun(), tt.notRun)
+			assert.Assert(t, !ticket.Vouch(request.Unknown(http.StatusConflict, "code", "", 0)).NotRun())
+		})
+	}
+}
