--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -36,6 +36,8 @@
 	// Model is the model that every item names; it is empty for plain services.
 	Model   document.ModelName
 	Created time.Time
+	// Hash is the hash of the items, so that a resend that uploads them again is known.
+	Hash document.Hash
 	// Deleted is when the organisation deleted the file, or zero.
 	Deleted time.Time
 }
@@ -79,6 +81,8 @@
 	Ended     time.Time
 	// Counts are final once the job has ended.
 	Counts Counts
+	// RequestHash is the hash of the request's body, to know a resend by.
+	RequestHash document.Hash
 	// BodyHash is the hash of the request that made the job.
 	BodyHash document.Hash
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -66,7 +66,7 @@
 		Jobs:     b.jobs,
 		Cancel:   dispatcher.NewCanceller(b.fleet, b.peers, b.log),
 		Calls:    calls,
-		Queue:    waiting,
+		Queue:    burn.NewWatchQueue(waiting, observer),
 		Limiter:  burn.NewWatchLimiter(limiter, observer),
 		Timeouts: gateway.Timeouts{
 			Body:  time.Duration(s.Timing.Body),
@@ -81,7 +81,7 @@
 	add(group, reporter.Run)
 	add(group, waiting.Run)
 	add(group, limiter.Run)
-	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Caller), served.Handler()); err != nil {
+	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Caller), burn.Stamped(served.Handler())); err != nil {
 		return err
 	}
 	b.status.SetReady(true)
