Use endpoints outside the subset before failing ones, and forget gone ones

Cause: a gateway whose whole subset was ejected kept sending to it, and a tracker kept the counts of every endpoint there ever was.

--- a/internal/endpoint/picker.go
+++ b/internal/endpoint/picker.go
@@ -58,6 +58,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tables == nil || endpoints != p.endpoints || members != p.members {
+		p.tracker.forget(p.directory)
 		p.tables = map[document.ServiceName]*table{}
 		p.endpoints, p.members = endpoints, members
 	}
@@ -119,7 +120,13 @@
 	c.draw(c.table.domain)
 	c.draw(len(c.table.endpoints))
 	if c.best < 0 {
-		c.scan()
+		c.scan(false)
+	}
+	if c.best < 0 {
+		if found, ok := p.elsewhere(service, c); ok {
+			return found, true
+		}
+		c.scan(true)
 	}
 	if c.best < 0 {
 		return Endpoint{}, false
@@ -127,6 +134,22 @@
 	return c.table.endpoints[c.best], true
 }
 
+// elsewhere returns a usable endpoint outside the gateway's subset, the first found from a random place.
+func (p *Picker) elsewhere(service document.ServiceName, c pick) (Endpoint, bool) {
+	all := p.directory.Serving(service)
+	if len(all) <= len(c.table.endpoints) {
+		return Endpoint{}, false
+	}
+	start := rand.IntN(len(all))
+	for i := range all {
+		candidate := all[(start+i)%len(all)]
+		if !c.tried[candidate.ID] && p.tracker.state(candidate.ID).share(c.now) > 0 {
+			return candidate, true
+		}
+	}
+	return Endpoint{}, false
+}
+
 // draw considers one usable endpoint of the first n.
 func (c *pick) draw(n int) {
 	if n == 0 {
@@ -162,16 +185,11 @@
 	}
 }
 
-// scan takes the least loaded of the endpoints that were not tried: of those not ejected if there are any.
-func (c *pick) scan() {
-	for _, ejected := range []bool{false, true} {
-		for at, s := range c.table.states {
-			if !c.tried[c.table.endpoints[at].ID] && (s.share(c.now) == 0) == ejected {
-				c.take(at, s.cost(c.now))
-			}
-		}
-		if c.best >= 0 {
-			return
+// scan takes the least loaded of the endpoints that were not tried and are ejected or not.
+func (c *pick) scan(ejected bool) {
+	for at, s := range c.table.states {
+		if !c.tried[c.table.endpoints[at].ID] && (s.share(c.now) == 0) == ejected {
+			c.take(at, s.cost(c.now))
 		}
 	}
 }
--- a/internal/endpoint/picker_test.go
+++ b/internal/endpoint/picker_test.go
@@ -230,6 +230,33 @@
 	assert.Assert(t, early > 0 && early*3 < late, "early %d late %d", early, late)
 }
 
+// When every endpoint of the gateway's subset fails, one elsewhere is used before a failing one.
+func TestElsewhereBeforeEjected(t *testing.T) {
+	directory, tracker, gateways := enginesOf(200), NewTracker(), gatewaysOf(12, 0)
+	picker := NewPicker(directory, tracker, gateways)
+	failing := map[ID]bool{}
+	for _, own := range subset(directory.Serving(testService), gateways.alive, gateways.self) {
+		tracker.Failed(own.ID)
+		failing[own.ID] = true
+	}
+	for range 100 {
+		got, ok := picker.Pick(testService, request.Shape{}, nil)
+		assert.Assert(t, ok && !failing[got.ID])
+	}
+}
+
+func TestGoneEndpointsAreForgotten(t *testing.T) {
+	directory, tracker := enginesOf(1), NewTracker()
+	picker := NewPicker(directory, tracker, gatewaysOf(1, 0))
+	_, ok := picker.Pick(testService, request.Shape{}, nil)
+	assert.Assert(t, ok)
+	directory.Leave("engine-0/1")
+	_, ok = picker.Pick(testService, request.Shape{}, nil)
+	assert.Assert(t, !ok)
+	_, kept := tracker.states.Load(ID("engine-0/1"))
+	assert.Assert(t, !kept)
+}
+
 func TestPrefixIsSharedUnlessLoaded(t *testing.T) {
 	directory := enginesOf(8)
 	shape := request.Shape{
--- a/internal/endpoint/tracker.go
+++ b/internal/endpoint/tracker.go
@@ -44,6 +44,18 @@
 	return found.(*state)
 }
 
+// forget drops endpoints that are gone and have nothing in flight.
+func (t *Tracker) forget(directory *Directory) {
+	t.states.Range(func(id, found any) bool {
+		s := found.(*state)
+		_, serving := directory.Find(id.(ID))
+		if !serving && s.online.Load() == 0 && s.batch.Load() == 0 {
+			t.states.Delete(id)
+		}
+		return true
+	})
+}
+
 func (t *Tracker) now() int64 {
 	return int64(time.Since(t.start))
 }
