Report at once where batch may be in the way

A request to an endpoint at which batch has slots now breaks the pause after a millisecond. TestReports "at once where batch may be in the way" failed before.

--- a/internal/steward/reporter.go
+++ b/internal/steward/reporter.go
@@ -41,7 +41,10 @@
 	// seen are the endpoints that requests went to, which are asked about in turn.
 	seen []endpoint.ID
 	next int
-	wake chan struct{}
+	// shared are the endpoints that batch had slots of at the last report.
+	shared map[endpoint.ID]bool
+	wake   chan struct{}
+	urgent chan struct{}
 }
 
 // NewReporter returns a reporter on the tracker.
@@ -53,7 +56,9 @@
 		from:    rand.Uint64(),
 		dirty:   map[endpoint.ID]bool{},
 		busy:    map[endpoint.ID]bool{},
+		shared:  map[endpoint.ID]bool{},
 		wake:    make(chan struct{}, 1),
+		urgent:  make(chan struct{}, 1),
 	}
 }
 
@@ -61,6 +66,9 @@
 func (r *Reporter) Start(id endpoint.ID, class request.Class) func() {
 	done := r.Tracker.Start(id, class)
 	r.mark(id)
+	if r.isShared(id) {
+		signal(r.urgent)
+	}
 	return func() {
 		done()
 		r.mark(id)
@@ -74,15 +82,38 @@
 		r.seen = append(r.seen, id)
 	}
 	r.mu.Unlock()
+	signal(r.wake)
+}
+
+func signal(channel chan struct{}) {
 	select {
-	case r.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
+// isShared reports whether batch may be in the way of a request to the endpoint.
+func (r *Reporter) isShared(id endpoint.ID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shared[id]
+}
+
+func (r *Reporter) setShared(id endpoint.ID, shared bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if shared {
+		r.shared[id] = true
+		return
+	}
+	delete(r.shared, id)
+}
+
 const (
 	// coalesce is how long changes are gathered after a report.
 	coalesce = 10 * time.Millisecond
+	// urgentCoalesce is how long changes are gathered when batch may be in the way of a request.
+	urgentCoalesce = time.Millisecond
 	// repeat is how often a count that is not zero is reported again.
 	repeat = 500 * time.Millisecond
 	// askedEach is how many endpoints a report asks about beside those whose count changed.
@@ -93,7 +124,8 @@
 	reportTimeout = 500 * time.Millisecond
 )
 
-// Run reports until ctx ends: the first change at once, further ones after a pause.
+// Run reports until ctx ends: the first change at once, further ones after a pause, which is short
+// for requests to endpoints that batch has slots of.
 func (r *Reporter) Run(ctx context.Context) error {
 	ticker := time.NewTicker(repeat)
 	defer ticker.Stop()
@@ -106,11 +138,21 @@
 		case <-r.wake:
 		}
 		r.report(ctx)
-		timer := time.NewTimer(coalesce)
+		r.gather(ctx)
+	}
+}
+
+// gather waits for further changes: a while, or only shortly if batch may be in the way of a request.
+func (r *Reporter) gather(ctx context.Context) {
+	timer := time.NewTimer(coalesce)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.urgent:
+		timer.Reset(urgentCoalesce)
 		select {
 		case <-ctx.Done():
-			timer.Stop()
-			return nil
 		case <-timer.C:
 		}
 	}
@@ -144,6 +186,10 @@
 		} else {
 			delete(r.busy, id)
 		}
+		if _, serving := r.owners.directory.Find(id); !serving && online == 0 {
+			delete(r.shared, id)
+			r.seen = slices.DeleteFunc(r.seen, func(seen endpoint.ID) bool { return seen == id })
+		}
 		owner, ok := r.owners.ownerOf(id)
 		if !ok {
 			continue
@@ -170,10 +216,6 @@
 	}
 	for range min(askedEach, len(r.seen)) {
 		r.next = (r.next + 1) % len(r.seen)
-		if _, serving := r.owners.directory.Find(r.seen[r.next]); !serving {
-			r.seen = slices.Delete(r.seen, r.next, r.next+1)
-			return
-		}
 		r.dirty[r.seen[r.next]] = true
 	}
 }
@@ -189,6 +231,7 @@
 	}
 	for id, load := range reply.Fleet {
 		r.HearFleet(id, report.Online[id], load)
+		r.setShared(id, load.Batch > 0)
 	}
 }
 
--- a/internal/steward/reporter_test.go
+++ b/internal/steward/reporter_test.go
@@ -22,6 +22,7 @@
 type heardReports struct {
 	mu      sync.Mutex
 	lost    bool
+	batch   int
 	reports []Report
 }
 
@@ -38,6 +39,7 @@
 			Fleet: map[endpoint.ID]endpoint.FleetLoad{
 				id: {
 					Online: 7,
+					Batch:  h.batch,
 				},
 			},
 		}
@@ -80,6 +82,16 @@
 			later(coalesce)
 			assert.Equal(t, heard.last(), 50)
 		},
+		"at once where batch may be in the way": func(t *testing.T, r *Reporter, heard *heardReports) {
+			heard.batch = 1
+			r.Start(only, request.ClassOnline)
+			later(100 * time.Millisecond)
+			for i := range 5 {
+				r.Start(only, request.ClassOnline)
+				later(2 * urgentCoalesce)
+				assert.Equal(t, heard.last(), 2+i)
+			}
+		},
 		"a lost report is made good": func(t *testing.T, r *Reporter, heard *heardReports) {
 			heard.lose(true)
 			r.Start(only, request.ClassOnline)
