--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -65,11 +68,21 @@
 	if err := json.Unmarshal(data, &body); err != nil {
 		return request.Invalid("invalid_body", err.Error())
 	}
+	hash := document.HashOf(string(data))
+	if key := c.r.Header.Get(headerIdempotencyKey); key != "" {
+		found, err := g.resent(c, key, hash)
+		if !errors.Is(err, job.ErrNotFound) {
+			if err != nil {
+				return err
+			}
+			return g.writeBatch(c, found)
+		}
+	}
 	made, err := g.newJob(c, body)
 	if err != nil {
 		return err
 	}
-	made.BodyHash = document.HashOf(string(data))
+	made.RequestHash = hash
 	stored, err := g.jobs.Create(c.r.Context(), made)
 	if err != nil {
 		return err
@@ -78,6 +91,17 @@
 	return g.writeBatch(c, stored)
 }
 
+// resent returns the job that the very same request with the key made earlier. It comes before any check of the request:
+// what was accepted stays accepted when its file is deleted, its due time passes or the policy changes. Whether another
+// request asks for the same is told when the job is made.
+func (g *Gateway) resent(c *caller, key string, hash document.Hash) (job.Job, error) {
+	found, err := g.jobs.Job(c.r.Context(), c.organisation, job.IDFor(c.organisation, key))
+	if err == nil && found.RequestHash != hash {
+		return job.Job{}, job.ErrNotFound
+	}
+	return found, err
+}
+
 func (g *Gateway) newJob(c *caller, body createBatchBody) (job.Job, error) {
 	file, err := g.jobs.File(c.r.Context(), c.organisation, job.FileID(body.InputFileID))
 	if err != nil {
@@ -86,6 +110,9 @@
 	if file.Path != body.Endpoint {
 		return job.Job{}, request.Invalid("endpoint_mismatch", "the items name "+file.Path)
 	}
+	if err := checkPath(file.Path); err != nil {
+		return job.Job{}, err
+	}
 	service, err := g.batchService(c, body.Endpoint, file)
 	if err != nil {
 		return job.Job{}, err
@@ -114,13 +141,29 @@
 		Created:      now,
 		Due:          now.Add(window),
 	}
-	made.Due, err = parseDue(body.Metadata, made.Due, now)
+	made.BodyHash, err = submissionHash(body, file)
+	if err != nil {
+		return job.Job{}, err
+	}
+	made.Due, err = parseDue(body.Metadata, made.Due, now, longestWindow(c.view.Policy))
 	return made, err
 }
 
+// submissionHash returns the hash of what is asked for; a resend may have uploaded the same items again.
+func submissionHash(body createBatchBody, file job.File) (document.Hash, error) {
+	if file.Hash != "" {
+		body.InputFileID = string(file.Hash)
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return "", err
+	}
+	return document.HashOf(string(data)), nil
+}
+
 // parseDue returns the due time that the metadata asks for. One that has passed can't be met for certain; whether a
 // later one can is reported while the job runs.
-func parseDue(metadata map[string]string, due, now time.Time) (time.Time, error) {
+func parseDue(metadata map[string]string, due, now time.Time, longest time.Duration) (time.Time, error) {
 	given, ok := metadata[dueKey]
 	if !ok {
 		return due, nil
@@ -132,6 +175,9 @@
 	if !asked.After(now) {
 		return due, request.Invalid("due_unreachable", "the due time has passed")
 	}
+	if asked.Sub(now) > longest {
+		return due, request.Invalid("invalid_due", "the due time must come within "+longest.String())
+	}
 	return asked, nil
 }
 
@@ -173,8 +219,8 @@
 }
 
 // batchService returns the service that a job's items go to.
-func (g *Gateway) batchService(c *caller, path string, file job.File) (document.ServiceName, error) {
-	if rest, plain := strings.CutPrefix(path, servicesPrefix); plain {
+func (g *Gateway) batchService(c *caller, given string, file job.File) (document.ServiceName, error) {
+	if rest, plain := strings.CutPrefix(given, servicesPrefix); plain {
 		name, _, _ := strings.Cut(rest, "/")
 		if _, ok := c.view.Services[document.ServiceName(name)]; !ok {
 			return "", request.Invalid("service_not_found", "there is no service "+name)
@@ -188,14 +234,28 @@
 	return service, nil
 }
 
+// checkPath refuses a path that an endpoint may read otherwise than this process: it could name another host, or a
+// path that may not be repeated.
+func checkPath(given string) error {
+	parsed, err := url.ParseRequestURI(given)
+	if err != nil || parsed.Host != "" || parsed.EscapedPath() != parsed.Path || path.Clean(parsed.Path) != parsed.Path {
+		return request.Invalid("invalid_path", "the items' path is not in its shortest form")
+	}
+	return nil
+}
+
 // servicePath returns the path at the service itself.
-func servicePath(path string) string {
-	rest, plain := strings.CutPrefix(path, servicesPrefix)
+func servicePath(given string) string {
+	rest, plain := strings.CutPrefix(given, servicesPrefix)
 	if !plain {
-		return path
+		return given
 	}
-	_, path, _ = strings.Cut(rest, "/")
-	return "/" + path
+	_, target, _ := strings.Cut(rest, "/")
+	return "/" + target
+}
+
+func longestWindow(policy document.Policy) time.Duration {
+	return time.Duration(policy.MaximumWindowHours) * time.Hour
 }
 
 func parseWindow(window string, policy document.Policy) (time.Duration, error) {
@@ -203,7 +263,7 @@
 		window = "24h"
 	}
 	parsed, err := time.ParseDuration(window)
-	longest := time.Duration(policy.MaximumWindowHours) * time.Hour
+	longest := longestWindow(policy)
 	if err != nil || parsed <= 0 || parsed > longest {
 		return 0, request.Invalid("invalid_window", fmt.Sprintf("completion_window must be a time such as 24h, at most %s", longest))
 	}
