--- a/internal/loadtest/harm.go
+++ b/internal/loadtest/harm.go
@@ -253,7 +253,7 @@
 	command := &cobra.Command{
 		Use:     "harm",
 		Short:   "Measure what batch does to online requests: alone, with naive batch, with stewards",
-		Example: "  loadtest harm --seeds 3 --seconds 20",
+		Example: "  loadtest harm --seeds 3 --seconds 12",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return options.compare(cmd.Context(), cmd.OutOrStdout(), options.modes())
@@ -268,7 +268,7 @@
 	command := &cobra.Command{
 		Use:     "routing",
 		Short:   "Compare ways to choose an endpoint on the same arrivals",
-		Example: "  loadtest routing --seeds 3 --seconds 20",
+		Example: "  loadtest routing --seeds 3 --seconds 12",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return options.compare(cmd.Context(), cmd.OutOrStdout(), options.routingModes())
@@ -281,7 +281,7 @@
 func (o *HarmOptions) flags(command *cobra.Command) {
 	flags := command.Flags()
 	flags.IntVar(&o.Seeds, "seeds", 3, "how many seeds")
-	flags.Float64Var(&o.Seconds, "seconds", 20, "how long each run takes")
+	flags.Float64Var(&o.Seconds, "seconds", 12, "how long each run takes")
 	flags.Float64Var(&o.CalmPerSecond, "calm", 20, "requests a second between bursts, which have ten times as many")
 	flags.IntVar(&o.VMs, "vms", 12, "gateways and dispatchers")
 	flags.IntVar(&o.Engines, "engines", 8, "model engines")
