TLS for callers and operators, and signed requests to the platform

Requests to the table and the object store are signed by Signature Version 4 if an access key is given. Both are off by default, and half a pair of fields is a fault of the settings.

--- a/internal/cli/connect.go
+++ b/internal/cli/connect.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net/http"
@@ -16,6 +18,7 @@
 type connect struct {
 	url        string
 	secretFile string
+	caFile     string
 	// variable is the environment variable that holds the secret if no file is given.
 	variable string
 }
@@ -32,6 +35,7 @@
 	}
 	command.PersistentFlags().StringVar(&c.url, "controller", "http://127.0.0.1:8090", "URL of a controller")
 	command.PersistentFlags().StringVar(&c.secretFile, "token-file", "", "file with the operator's token (else $"+variableToken+")")
+	c.tlsFlag(command)
 	return c
 }
 
@@ -42,9 +46,37 @@
 	}
 	command.PersistentFlags().StringVar(&c.url, "gateway", "http://127.0.0.1:8080", "URL of a gateway")
 	command.PersistentFlags().StringVar(&c.secretFile, "key-file", "", "file with the organisation's key (else $"+variableKey+")")
+	c.tlsFlag(command)
 	return c
 }
 
+func (c *connect) tlsFlag(command *cobra.Command) {
+	command.PersistentFlags().StringVar(&c.caFile, "ca-file", "", "file with the certificates to trust, in PEM (else the system's)")
+}
+
+// client returns the HTTP client to use.
+func (c *connect) client() (*http.Client, error) {
+	if c.caFile == "" {
+		return http.DefaultClient, nil
+	}
+	data, err := os.ReadFile(c.caFile)
+	if err != nil {
+		return nil, errors.Join(errUsage, err)
+	}
+	trusted := x509.NewCertPool()
+	if !trusted.AppendCertsFromPEM(data) {
+		return nil, errors.Join(errUsage, fmt.Errorf("%s holds no certificate", c.caFile))
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig: &tls.Config{
+				MinVersion: tls.VersionTLS12,
+				RootCAs:    trusted,
+			},
+		},
+	}, nil
+}
+
 func (c *connect) secret() (string, error) {
 	if c.secretFile == "" {
 		if secret := os.Getenv(c.variable); secret != "" {
@@ -64,7 +96,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.NewOperator(http.DefaultClient, c.url, token), nil
+	through, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	return client.NewOperator(through, c.url, token), nil
 }
 
 func (c *connect) caller() (*client.Caller, error) {
@@ -72,5 +108,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.NewCaller(http.DefaultClient, c.url, key), nil
+	through, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	return client.NewCaller(through, c.url, key), nil
 }
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"net"
@@ -69,21 +70,15 @@
 	if err != nil {
 		return nil, err
 	}
-	transport, err := telemetry.NewPlatformCalls(status.Meter(), &http.Transport{
-		MaxIdleConnsPerHost: platformConnections,
-		IdleConnTimeout:     time.Minute,
-	})
+	to, err := newClients(s.Platform, status)
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{
-		Transport: transport,
-	}
 	b := &base{
 		settings:  s,
 		log:       log,
-		table:     platform.NewTable(client, s.Platform.TableURL, s.Platform.Table, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
-		objects:   platform.NewObjects(client, s.Platform.ObjectsURL, s.Platform.Bucket, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
+		table:     platform.NewTable(to.table, s.Platform.TableURL, s.Platform.Table, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
+		objects:   platform.NewObjects(to.objects, s.Platform.ObjectsURL, s.Platform.Bucket, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
 		directory: endpoint.NewDirectory(),
 		peers:     peer.NewPool(secret),
 		server:    peer.NewServer(secret, log),
@@ -100,7 +95,7 @@
 	b.notes = explain.New(b.self.ID())
 	b.store = document.NewStore(b.table, b.objects)
 	b.jobs = job.NewStore(b.table, b.objects)
-	b.fleet = fleet.New(b.self, ports(s), platform.NewVMList(client, s.Platform.VMListURL), b.peers, log)
+	b.fleet = fleet.New(b.self, ports(s), platform.NewVMList(to.list, s.Platform.VMListURL), b.peers, log)
 	b.fleet.OnList(b.directory.Update)
 	b.follower = document.NewFollower(b.store, b.fleet, document.DefaultLimits(time.Duration(s.Timing.DocumentPoll)), log)
 	b.spread = document.NewSpread(b.follower, b.peers, log)
@@ -151,7 +146,7 @@
 const headerTimeout = 10 * time.Second
 
 // serveHTTP adds an HTTP server for callers or operators, which drain shuts down.
-func (b *base) serveHTTP(group *run.Group, address string, handler http.Handler) error {
+func (b *base) serveHTTP(group *run.Group, address string, handler http.Handler, files settings.Certificate) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return startError(err)
@@ -167,9 +162,23 @@
 		},
 		done: make(chan struct{}),
 	}
+	serve := server.server.Serve
+	if files.CertificateFile != "" {
+		loaded, err := newCertificate(files, b.log)
+		if err != nil {
+			return err
+		}
+		server.server.TLSConfig = &tls.Config{
+			MinVersion:     tls.VersionTLS12,
+			GetCertificate: loaded.get,
+		}
+		serve = func(listener net.Listener) error {
+			return server.server.ServeTLS(listener, "", "")
+		}
+	}
 	b.servers = append(b.servers, server)
 	group.Add(func() error {
-		err := server.server.Serve(listener)
+		err := serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -44,7 +44,7 @@
 	if err := b.common(ctx, group, at); err != nil {
 		return err
 	}
-	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Operator), served.Handler()); err != nil {
+	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Operator), served.Handler(), s.TLS.Operator); err != nil {
 		return err
 	}
 	b.status.SetReady(true)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -29,9 +29,29 @@
 			Want:  "the number by which peers reach this VM",
 		})
 	}
+	wrong = append(wrong, both("TLS.Caller.CertificateFile", s.TLS.Caller.CertificateFile, "TLS.Caller.KeyFile", s.TLS.Caller.KeyFile)...)
+	wrong = append(wrong, both("TLS.Operator.CertificateFile", s.TLS.Operator.CertificateFile, "TLS.Operator.KeyFile", s.TLS.Operator.KeyFile)...)
+	wrong = append(wrong, both("Platform.AccessKeyFile", s.Platform.AccessKeyFile, "Platform.SigningRegion", s.Platform.SigningRegion)...)
 	return append(wrong, s.Ports.check()...)
 }
 
+// both returns what is wrong if just one of two fields is given.
+func both(one, oneValue, other, otherValue string) []jsonc.Wrong {
+	switch {
+	case (oneValue == "") == (otherValue == ""):
+		return nil
+	case oneValue == "":
+		one, other = other, one
+	}
+	return []jsonc.Wrong{
+		{
+			Field: other,
+			Wrong: "is missing",
+			Want:  "a value, as " + one + " has one",
+		},
+	}
+}
+
 func (t Timing) check() []jsonc.Wrong {
 	var wrong []jsonc.Wrong
 	atMost := func(field string, value, most Duration, why string) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	Ports    Ports
 	Platform Platform
 	Peers    Peers
+	TLS      TLS
 	Timing   Timing
 	Log      Log
 }
@@ -54,6 +55,23 @@
 	VMListURL       string             `validate:"required,url"`
 	WritesPerSecond platform.Rate      `validate:"gt=0"`
 	ReadsPerSecond  platform.Rate      `validate:"gt=0"`
+	// AccessKeyFile holds the id and the secret that sign requests, a line each; empty for a platform that asks for none.
+	AccessKeyFile string
+	// SigningRegion is the region that signatures name.
+	SigningRegion string
+}
+
+// TLS says which servers speak TLS.
+type TLS struct {
+	// Caller is the gateway's certificate for callers, Operator the controller's for operators.
+	Caller   Certificate
+	Operator Certificate
+}
+
+// Certificate names the files of a certificate and its key, in PEM; both are empty for a server without TLS.
+type Certificate struct {
+	CertificateFile string
+	KeyFile         string
 }
 
 // Peers says how processes know each other.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -119,6 +119,14 @@
 			new:  `"Ports": {"Operator": 70000},`,
 			want: []string{`vm.jsonc:18: Ports.Operator: has the value 70000; want at most 65535`},
 		},
+		"certificate without a key": {
+			old: `"Timing": {"Heartbeat": "500ms", "SessionTerm": "6s"},`,
+			new: `"TLS": {"Caller": {"CertificateFile": "a.pem"}, "Operator": {"KeyFile": "b.pem"}},`,
+			want: []string{
+				`vm.jsonc:18: TLS.Caller.KeyFile: is missing; want a value, as TLS.Caller.CertificateFile has one`,
+				`vm.jsonc:18: TLS.Operator.CertificateFile: is missing; want a value, as TLS.Operator.KeyFile has one`,
+			},
+		},
 		"syntax error": {
 			old:  `"VM": {`,
 			new:  `"VM" {`,
