--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -67,20 +69,21 @@
 		return request.Invalid("invalid_body", err.Error())
 	}
 	hash := document.HashOf(string(data))
-	if key := c.r.Header.Get(headerIdempotencyKey); key != "" {
-		found, err := g.resent(c, key, hash)
-		if !errors.Is(err, job.ErrNotFound) {
-			if err != nil {
-				return err
-			}
-			return g.writeBatch(c, found)
-		}
+	earlier, taken, err := g.earlier(c)
+	if err != nil {
+		return err
+	}
+	if taken && earlier.RequestHash == hash {
+		return g.writeBatch(c, earlier)
 	}
 	made, err := g.newJob(c, body)
+	if taken && refused(err) {
+		return job.ErrKeyReused
+	}
 	if err != nil {
 		return err
 	}
-	made.BodyHash = hash
+	made.RequestHash = hash
 	stored, err := g.jobs.Create(c.r.Context(), made)
 	if err != nil {
 		return err
@@ -89,14 +92,25 @@
 	return g.writeBatch(c, stored)
 }
 
-// resent returns the job that an earlier request with the key made. It comes before any check of the request: what was
-// accepted stays accepted when its file is deleted, its due time passes or the policy changes.
-func (g *Gateway) resent(c *caller, key string, hash document.Hash) (job.Job, error) {
+// earlier returns the job that the request's key has made, and whether there is one. It is looked for before any check
+// of the request: what was accepted stays accepted when its file is deleted, its due time passes or the policy changes.
+// Whether a request in other words asks for the same is told when the job is made.
+func (g *Gateway) earlier(c *caller) (job.Job, bool, error) {
+	key := c.r.Header.Get(headerIdempotencyKey)
+	if key == "" {
+		return job.Job{}, false, nil
+	}
 	found, err := g.jobs.Job(c.r.Context(), c.organisation, job.IDFor(c.organisation, key))
-	if err == nil && found.BodyHash != hash {
-		return job.Job{}, job.ErrKeyReused
+	if errors.Is(err, job.ErrNotFound) {
+		return job.Job{}, false, nil
 	}
-	return found, err
+	return found, err == nil, err
+}
+
+// refused reports whether a request can't be met as it is, whatever the state of the platform.
+func refused(err error) bool {
+	var refusal *request.Refusal
+	return errors.As(err, &refusal) || errors.Is(err, job.ErrNotFound)
 }
 
 func (g *Gateway) newJob(c *caller, body createBatchBody) (job.Job, error) {
@@ -107,6 +121,9 @@
 	if file.Path != body.Endpoint {
 		return job.Job{}, request.Invalid("endpoint_mismatch", "the items name "+file.Path)
 	}
+	if err := checkPath(file.Path); err != nil {
+		return job.Job{}, err
+	}
 	service, err := g.batchService(c, body.Endpoint, file)
 	if err != nil {
 		return job.Job{}, err
@@ -135,10 +152,26 @@
 		Created:      now,
 		Due:          now.Add(window),
 	}
+	made.BodyHash, err = submissionHash(body, file)
+	if err != nil {
+		return job.Job{}, err
+	}
 	made.Due, err = parseDue(body.Metadata, made.Due, now, longestWindow(c.view.Policy))
 	return made, err
 }
 
+// submissionHash returns the hash of what is asked for; a resend may have uploaded the same items again.
+func submissionHash(body createBatchBody, file job.File) (document.Hash, error) {
+	if file.Hash != "" {
+		body.InputFileID = string(file.Hash)
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return "", err
+	}
+	return document.HashOf(string(data)), nil
+}
+
 // parseDue returns the due time that the metadata asks for. One that has passed can't be met for certain; whether a
 // later one can is reported while the job runs.
 func parseDue(metadata map[string]string, due, now time.Time, longest time.Duration) (time.Time, error) {
@@ -197,8 +230,8 @@
 }
 
 // batchService returns the service that a job's items go to.
-func (g *Gateway) batchService(c *caller, path string, file job.File) (document.ServiceName, error) {
-	if rest, plain := strings.CutPrefix(path, servicesPrefix); plain {
+func (g *Gateway) batchService(c *caller, given string, file job.File) (document.ServiceName, error) {
+	if rest, plain := strings.CutPrefix(given, servicesPrefix); plain {
 		name, _, _ := strings.Cut(rest, "/")
 		if _, ok := c.view.Services[document.ServiceName(name)]; !ok {
 			return "", request.Invalid("service_not_found", "there is no service "+name)
@@ -212,14 +245,24 @@
 	return service, nil
 }
 
+// checkPath refuses a path that an endpoint may read otherwise than this process: it could name another host, or a
+// path that may not be repeated.
+func checkPath(given string) error {
+	parsed, err := url.ParseRequestURI(given)
+	if err != nil || parsed.Host != "" || parsed.EscapedPath() != parsed.Path || path.Clean(parsed.Path) != parsed.Path {
+		return request.Invalid("invalid_path", "the items' path is not in its shortest form")
+	}
+	return nil
+}
+
 // servicePath returns the path at the service itself.
-func servicePath(path string) string {
-	rest, plain := strings.CutPrefix(path, servicesPrefix)
+func servicePath(given string) string {
+	rest, plain := strings.CutPrefix(given, servicesPrefix)
 	if !plain {
-		return path
+		return given
 	}
-	_, path, _ = strings.Cut(rest, "/")
-	return "/" + path
+	_, target, _ := strings.Cut(rest, "/")
+	return "/" + target
 }
 
 func longestWindow(policy document.Policy) time.Duration {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -37,6 +37,9 @@
 	readyTimeout = 60 * time.Second
 )
 
+// runOctet is the third octet of loopback addresses, so that two runs of the tests on one machine rarely meet.
+var runOctet = 1 + os.Getpid()%250
+
 // binaries builds the commands once for all tests.
 var binaries = sync.OnceValues(func() (string, error) {
 	folder, err := os.MkdirTemp("", "rhubarbrudder-test")
@@ -78,7 +81,7 @@
 
 // cluster is the platform and endpoints played in the test's process, and the system's processes.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	options   clusterOptions
 	platform  *standin.Platform
 	engines   []*standin.Engine
@@ -111,7 +114,7 @@
 }
 
 // newCluster starts everything and waits until all processes are ready.
-func newCluster(t *testing.T, options clusterOptions) *cluster {
+func newCluster(t testing.TB, options clusterOptions) *cluster {
 	t.Helper()
 	c := &cluster{
 		t:         t,
@@ -141,11 +144,11 @@
 
 // address returns a loopback address of the cluster; VMs count from 11, engines from 101, plain services from 201.
 func (c *cluster) address(host, port int) string {
-	return fmt.Sprintf("127.%d.0.%d:%d", c.options.net, host, port)
+	return fmt.Sprintf("%s:%d", c.ip(host), port)
 }
 
 func (c *cluster) ip(host int) string {
-	return fmt.Sprintf("127.%d.0.%d", c.options.net, host)
+	return fmt.Sprintf("127.%d.%d.%d", c.options.net, runOctet, host)
 }
 
 func (c *cluster) serve(address string, handler http.Handler) {
@@ -435,7 +438,7 @@
 }
 
 // waitFor waits until the condition holds and fails the test after the limit.
-func waitFor(t *testing.T, what string, limit time.Duration, holds func() bool) {
+func waitFor(t testing.TB, what string, limit time.Duration, holds func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for !holds() {
--- a/test/product_tls_test.go
+++ b/test/product_tls_test.go
@@ -34,12 +34,12 @@
 		CertificateFile: filepath.Join(folder, "certificate.pem"),
 		KeyFile:         filepath.Join(folder, "key.pem"),
 	}
-	writeCertificate(t, files, 1, "127.117.0.11")
 	key := filepath.Join(folder, "access")
 	assert.NilError(t, os.WriteFile(key, []byte("id\nsecret\n"), 0o600))
 	options := defaultCluster(117)
 	options.vms = 1
 	options.customise = func(s *settings.Settings) {
+		writeCertificate(t, files, 1, s.VM.Address)
 		s.TLS.Caller = files
 		s.TLS.Operator = files
 		s.Platform.AccessKeyFile = key
@@ -63,7 +63,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, answer, standin.Answer("Is beacon 4 ready?", 6))
 
-	writeCertificate(t, files, 2, "127.117.0.11")
+	writeCertificate(t, files, 2, c.settings[0].VM.Address)
 	waitFor(t, "the new certificate", readyTimeout, func() bool {
 		return serial(t, gateway, files) == 2
 	})
