Burn: count jobs completed late

Cause: the report listed late jobs only while they ran; once completed, a broken promise left no trace. The store tells the dispatcher whose commit ended a job, which counts it, and the controller gathers from dispatchers too. No job may be late, so that one late job uses up the budget.

Seen failing first: with no job taken for late TestReports waits in vain.

--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -89,6 +89,14 @@
 			counts: burn.Counts{Answers: 100, First: 100, Tokens: 1000, SlowTokens: 25},
 			want:   map[burn.ObjectiveName]float64{burn.ObjectiveAnswer: 1, burn.ObjectiveFirstToken: 1, burn.ObjectiveToken: 0.5},
 		},
+		"jobs in time": {
+			counts: burn.Counts{Answers: 1, Jobs: 8},
+			want:   map[burn.ObjectiveName]float64{burn.ObjectiveAnswer: 1, burn.ObjectiveFirstToken: 1, burn.ObjectiveToken: 1, burn.ObjectiveJobDue: 1},
+		},
+		"one job late": {
+			counts: burn.Counts{Answers: 1, Jobs: 8, LateJobs: 1},
+			want:   map[burn.ObjectiveName]float64{burn.ObjectiveAnswer: 1, burn.ObjectiveFirstToken: 1, burn.ObjectiveToken: 1, burn.ObjectiveJobDue: -1},
+		},
 		"refusals and failures": {
 			counts: burn.Counts{Answers: 998, Refused: 1, Failed: 1},
 			want:   map[burn.ObjectiveName]float64{burn.ObjectiveAnswer: -1, burn.ObjectiveFirstToken: 1, burn.ObjectiveToken: 1},
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -18,6 +18,8 @@
 	ObjectiveToken ObjectiveName = "Token"
 	// ObjectiveAnswer is for requests that are answered.
 	ObjectiveAnswer ObjectiveName = "Answer"
+	// ObjectiveJobDue is for jobs completed by their due time; a single late job uses up the budget.
+	ObjectiveJobDue ObjectiveName = "JobDue"
 )
 
 const (
@@ -141,10 +143,16 @@
 }
 
 func rows(one Series, service document.Service) []Row {
-	made := []Row{
-		row(one, ObjectiveAnswer, 0, allowedUnanswered, func(c Counts) (uint64, uint64) {
+	var made []Row
+	if longest := one.Windows[windows-1]; longest.requests() > 0 {
+		made = append(made, row(one, ObjectiveAnswer, 0, allowedUnanswered, func(c Counts) (uint64, uint64) {
 			return uint64(c.Failed) + uint64(c.Refused), c.requests()
-		}),
+		}))
+	}
+	if longest := one.Windows[windows-1]; longest.Jobs > 0 {
+		made = append(made, row(one, ObjectiveJobDue, 0, 1/float64(longest.Jobs), func(c Counts) (uint64, uint64) {
+			return uint64(c.LateJobs), uint64(longest.Jobs)
+		}))
 	}
 	if service.FirstTokenMilliseconds > 0 {
 		made = append(made, row(one, ObjectiveFirstToken, service.FirstTokenMilliseconds, allowedSlow, func(c Counts) (uint64, uint64) {
--- a/internal/burn/series.go
+++ b/internal/burn/series.go
@@ -20,6 +20,9 @@
 	// Tokens counts the tokens after the first, SlowTokens those later than the objective.
 	Tokens     uint32
 	SlowTokens uint32
+	// Jobs counts jobs that were completed, LateJobs those completed after their due time.
+	Jobs     uint32
+	LateJobs uint32
 }
 
 // Add adds other to the counts; a count that is full stays full.
@@ -31,6 +34,8 @@
 	c.SlowFirst = add(c.SlowFirst, other.SlowFirst)
 	c.Tokens = add(c.Tokens, other.Tokens)
 	c.SlowTokens = add(c.SlowTokens, other.SlowTokens)
+	c.Jobs = add(c.Jobs, other.Jobs)
+	c.LateJobs = add(c.LateJobs, other.LateJobs)
 }
 
 func add(a, b uint32) uint32 {
@@ -47,7 +52,7 @@
 
 // bad counts what an organisation may complain of.
 func (c Counts) bad() uint64 {
-	return uint64(c.Failed) + uint64(c.Refused) + uint64(c.SlowFirst)
+	return uint64(c.Failed) + uint64(c.Refused) + uint64(c.SlowFirst) + uint64(c.LateJobs)
 }
 
 // Key names a series.
--- a/internal/burn/watch.go
+++ b/internal/burn/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/organisation"
 	"rhubarbrudder/internal/request"
 	"rhubarbrudder/internal/router"
@@ -121,6 +122,26 @@
 	return sample, true
 }
 
+// JobEnded counts a job that has ended; a cancelled one is owed nothing.
+func (c *Counters) JobEnded(ended job.Job) {
+	if ended.State != job.StateCompleted {
+		return
+	}
+	counts := Counts{
+		Jobs: 1,
+	}
+	if ended.Ended.After(ended.Due) {
+		counts.LateJobs = 1
+	}
+	c.Observe(Sample{
+		Key: Key{
+			Organisation: ended.Organisation,
+			Service:      ended.Service,
+		},
+		Counts: counts,
+	})
+}
+
 // Limiter holds organisations to their limits.
 type Limiter interface {
 	Enter(ctx context.Context, id document.OrganisationID, limit document.Organisation) (func(), error)
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -15,11 +15,11 @@
 // mostOrganisations bounds the organisations that a process reports, those with the most misses first.
 const mostOrganisations = 500
 
-// counts gathers the counts of all gateways.
+// counts gathers the counts of all gateways and dispatchers.
 func (c *Controller) counts(ctx context.Context, organisation document.OrganisationID) (*burn.Merged, []string) {
 	var mu sync.Mutex
 	merged := burn.NewMerged()
-	silent := gather(ctx, c.expected(fleet.RoleGateway), func(ctx context.Context, member fleet.Member) error {
+	silent := gather(ctx, c.expected(fleet.RoleGateway, fleet.RoleDispatcher), func(ctx context.Context, member fleet.Member) error {
 		var answer burn.Answer
 		err := c.caller.Call(ctx, member.Address, burn.MethodCounts, burn.Query{
 			Organisation: organisation,
--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -134,7 +134,11 @@
 	if errors.Is(err, ErrFenced) {
 		return false, nil
 	}
-	return err == nil, err
+	if err != nil {
+		return false, err
+	}
+	s.ended(job)
+	return true, nil
 }
 
 // Tally sums up a job's lots.
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -35,6 +35,7 @@
 	objects Objects
 	// pause waits between repeats and reports whether ctx still lives.
 	pause func(ctx context.Context, length time.Duration) bool
+	ended func(job Job)
 }
 
 // NewStore returns a store on the platform.
@@ -43,9 +44,15 @@
 		table:   table,
 		objects: objects,
 		pause:   pause,
+		ended:   func(Job) {},
 	}
 }
 
+// OnEnded sets a function that is called with each job that this store ends; it must come before Finish.
+func (s *Store) OnEnded(do func(job Job)) {
+	s.ended = do
+}
+
 const (
 	partitionFile   = "File"
 	partitionJob    = "Job"
--- a/internal/process/dispatcher.go
+++ b/internal/process/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/oklog/run"
 
+	"rhubarbrudder/internal/burn"
 	"rhubarbrudder/internal/dispatcher"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
@@ -39,6 +40,11 @@
 	sessions := lease.New(b.table, string(s.VM.Name), time.Duration(s.Timing.SessionTerm), func() int {
 		return len(b.fleet.Alive(fleet.RoleDispatcher))
 	}, b.log)
+	counters := burn.NewCounters(time.Now)
+	b.jobs.OnEnded(counters.JobEnded)
+	if err := b.server.Register("Burn", burn.NewService(counters)); err != nil {
+		return err
+	}
 	counted, err := newCountedJobs(b.status.Meter(), b.jobs)
 	if err != nil {
 		return err
--- a/test/product_report_test.go
+++ b/test/product_report_test.go
@@ -58,6 +58,7 @@
 	assert.Equal(t, printed.code, 0, printed.errOut)
 	assert.NilError(t, json.Unmarshal([]byte(printed.out), &report))
 	assert.Equal(t, len(report.Silent), 0, printed.out)
+	assertLate(t, c, line)
 	rows := map[burn.ObjectiveName]burn.Row{}
 	for _, row := range report.Services {
 		if row.Service == "beacon-assist" {
@@ -83,6 +84,23 @@
 	assert.Assert(t, strings.Contains(text.out, "Silent: Gateway/vm-1"), text.out)
 }
 
+// assertLate runs a job that can't be done by its due time, and looks for it in the report when it has ended.
+func assertLate(t *testing.T, c *cluster, line commandLine) {
+	t.Helper()
+	input := line.file("late.jsonl", batchInput(1, 200, func(int) string { return "sheet" }))
+	due := time.Now().Add(2 * time.Second).UTC().Format(time.RFC3339)
+	submitted := line.gateway("job", "submit", input, "--due", due, "--wait")
+	assert.Equal(t, submitted.code, 0, submitted.errOut)
+	waitFor(t, "the late job to be counted", readyTimeout, func() bool {
+		var report burn.Report
+		printed := line.controller("report", "burn", "--output", "json")
+		assert.NilError(t, json.Unmarshal([]byte(printed.out), &report))
+		return slices.ContainsFunc(report.Organisations, func(row burn.Row) bool {
+			return row.Objective == burn.ObjectiveJobDue && row.Organisation == "lawinenwerk" && row.Events == 1 && row.BudgetLeft == 0
+		})
+	})
+}
+
 // TestOverloadIsReported sends more than the endpoints have room for, and compares the report with what callers saw.
 func TestOverloadIsReported(t *testing.T) {
 	t.Parallel()
