Departures: a process that was frozen catches up with a peer that answers

Cause: TestLeavingIsTakenOverFromPeers saw new work at a leaving endpoint up to 3.96 s after a frozen gateway ran again (promise 3 s). The exchange asked one process of the VM list a second, whether or not it lived; with one live peer of five listed, three misses in a row are likely (about half of runs). Ruled out: asking all; the cost grows with the fleet. Now an exchange goes on to the next process until one answers, and a process that missed two periods exchanges twice.

--- a/internal/endpoint/announcer.go
+++ b/internal/endpoint/announcer.go
@@ -58,6 +58,8 @@
 	announceTo = 12
 	// exchangePeriod is the period of exchanges with one peer.
 	exchangePeriod = time.Second
+	// frozenPeriods is how many periods without an exchange a process only misses if it was frozen.
+	frozenPeriods = 2
 	// announceTimeout bounds one call.
 	announceTimeout = time.Second
 )
@@ -66,14 +68,17 @@
 func (a *Announcer) Run(ctx context.Context) error {
 	ticker := time.NewTicker(exchangePeriod)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			for _, peer := range a.peers(1) {
-				go a.exchange(ctx, peer)
+			if time.Since(last) > frozenPeriods*exchangePeriod {
+				go a.exchange(ctx)
 			}
+			last = time.Now()
+			go a.exchange(ctx)
 		case <-a.wake:
 			a.announce(ctx)
 		}
@@ -96,20 +101,29 @@
 	}
 }
 
-func (a *Announcer) exchange(ctx context.Context, peer fleet.Member) {
-	a.call(ctx, peer, Departures{
+// exchange exchanges everything known with one peer that answers; a listed process may be gone.
+func (a *Announcer) exchange(ctx context.Context) {
+	args := Departures{
 		Leaving: a.directory.Departures(),
 		Whole:   true,
-	})
+	}
+	for _, peer := range a.peers(announceTo) {
+		if a.call(ctx, peer, args) {
+			return
+		}
+	}
 }
 
-func (a *Announcer) call(ctx context.Context, peer fleet.Member, args Departures) {
+// call passes departures on to a peer and reports whether it answered.
+func (a *Announcer) call(ctx context.Context, peer fleet.Member, args Departures) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	var reply Departures
-	if err := a.caller.Call(ctx, peer.Address, MethodLeaving, args, &reply); err == nil {
-		a.directory.Hear(reply.Leaving)
+	if err := a.caller.Call(ctx, peer.Address, MethodLeaving, args, &reply); err != nil {
+		return false
 	}
+	a.directory.Hear(reply.Leaving)
+	return true
 }
 
 // peers returns up to n other processes chosen at random.
