--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -159,12 +159,12 @@
 	}
 	say(out, "Burn report (rhubarbrudder report burn):\n")
 	for _, row := range report.Services {
-		limit := "answered"
+		objective := string(row.Objective)
 		if row.LimitMilliseconds > 0 {
-			limit = fmt.Sprintf("within %d ms", row.LimitMilliseconds)
+			objective = fmt.Sprintf("%s within %d ms", row.Objective, row.LimitMilliseconds)
 		}
-		say(out, "  %s, %s %s: %d events, budget left %.0f %%, burn over 5 min %.2f\n",
-			row.Service, row.Objective, limit, row.Events, 100*row.BudgetLeft, row.Burn5m)
+		say(out, "  %s, %s: %d events, budget left %.0f %%, burn over 5 min %.2f\n",
+			row.Service, objective, row.Events, 100*row.BudgetLeft, row.Burn5m)
 	}
 	for _, late := range report.LateJobs {
 		say(out, "  job %s is %d s late\n", late.Job, late.LateSeconds)
