Size the reserve by Erlang B over the arrivals of the last quarter second

With a fixed reserve of 1 of 16 slots a rush finds it used up; with 2 batch loses 6% of the idle slots in calm too. The quantile needs three windows of a rush before it moves and is left out. ReserveSlots stays the least. TestReserveFollowsArrivals covers calm, rush, cap and minimum.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -102,7 +102,7 @@
 	Endpoints int `validate:"min=0,max=10000"`
 	// Slots is how many requests an endpoint serves at once.
 	Slots int `validate:"min=1,max=10000"`
-	// ReserveSlots is how many slots of an endpoint batch leaves free.
+	// ReserveSlots is how many slots of an endpoint batch leaves free; more while online requests arrive quickly.
 	ReserveSlots int `validate:"min=0,max=10000"`
 	// QueueMilliseconds is how long an online request may wait for a slot.
 	QueueMilliseconds int `validate:"min=0,max=600000"`
--- a/internal/steward/account.go
+++ b/internal/steward/account.go
@@ -19,6 +19,7 @@
 	loadHeard   time.Time
 	loadAsked   time.Time
 	floor       floorCredit
+	arrivals    arrivals
 }
 
 type onlineCount struct {
@@ -112,6 +113,9 @@
 	if known, ok := a.online[from]; ok && known.sequence >= sequence {
 		return false
 	}
+	if begun := count - a.online[from].count; begun > 0 {
+		a.arrivals.add(begun, now)
+	}
 	a.online[from] = onlineCount{
 		count:    count,
 		sequence: sequence,
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -154,11 +154,6 @@
 	return found
 }
 
-// limit returns how many requests an endpoint may have before batch work yields.
-func limit(service document.Service) int {
-	return service.Slots - service.ReserveSlots
-}
-
 // fill grants free slots of a service to those who wait, in their order.
 func (s *Steward) fill(service document.ServiceName, now time.Time) {
 	settings, ok := s.document.View().Services[service]
@@ -189,7 +184,7 @@
 		if avoid[candidate.ID] || !a.open(now) {
 			continue
 		}
-		if free := limit(settings) - a.used(now); free > most {
+		if free := a.limit(settings, now) - a.used(now); free > most {
 			best, most, floor = candidate, free, false
 		}
 		if most == 0 && s.floorDue(a, settings, now) {
@@ -270,5 +265,5 @@
 	}
 	settings := s.document.View().Services[target.Service]
 	a.floor.settle(now, s.document.View().Policy.FloorShare*float64(settings.Slots), len(a.grants))
-	s.cancel(id, a, a.used(now)-limit(settings), yieldReason)
+	s.cancel(id, a, a.used(now)-a.limit(settings, now), yieldReason)
 }
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -282,6 +282,38 @@
 	}
 }
 
+// The reserve grows while requests arrive quickly and shrinks when they no longer do.
+func TestReserveFollowsArrivals(t *testing.T) {
+	cases := map[string]struct {
+		reserve, times, rise int
+		during, after        int
+	}{
+		"calm":                       {reserve: 1, times: 1, rise: 1, during: 7, after: 7},
+		"rush":                       {reserve: 1, times: 5, rise: 1, during: 6, after: 7},
+		"a quarter at most":          {reserve: 1, times: 5, rise: 5, during: 6, after: 7},
+		"never less than configured": {reserve: 3, times: 5, rise: 1, during: 5, after: 5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := startRig(100, c.reserve, 0, idle)
+				defer r.cancel()
+				later(2 * time.Second)
+				assert.Equal(t, r.running(), c.after)
+				for i := range uint64(c.times) {
+					r.report(2*i+1, c.rise)
+					later(arrivalWindow)
+					r.report(2*i+2, 0)
+					later(arrivalWindow)
+				}
+				assert.Equal(t, r.running(), c.during)
+				later(2 * windowsKept * arrivalWindow)
+				assert.Equal(t, r.running(), c.after)
+			})
+		})
+	}
+}
+
 // Two stewards of one endpoint, of which gateways tell only the other: the load that this one can't explain stops it.
 func TestSecondStewardYields(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
