--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -69,16 +69,17 @@
 		return request.Invalid("invalid_body", err.Error())
 	}
 	hash := document.HashOf(string(data))
-	if key := c.r.Header.Get(headerIdempotencyKey); key != "" {
-		found, err := g.resent(c, key, hash)
-		if !errors.Is(err, job.ErrNotFound) {
-			if err != nil {
-				return err
-			}
-			return g.writeBatch(c, found)
-		}
+	earlier, taken, err := g.earlier(c)
+	if err != nil {
+		return err
+	}
+	if taken && earlier.RequestHash == hash {
+		return g.writeBatch(c, earlier)
 	}
 	made, err := g.newJob(c, body)
+	if taken && refused(err) {
+		return job.ErrKeyReused
+	}
 	if err != nil {
 		return err
 	}
@@ -91,15 +92,25 @@
 	return g.writeBatch(c, stored)
 }
 
-// resent returns the job that the very same request with the key made earlier. It comes before any check of the request:
-// what was accepted stays accepted when its file is deleted, its due time passes or the policy changes. Whether another
-// request asks for the same is told when the job is made.
-func (g *Gateway) resent(c *caller, key string, hash document.Hash) (job.Job, error) {
+// earlier returns the job that the request's key has made, and whether there is one. It is looked for before any check
+// of the request: what was accepted stays accepted when its file is deleted, its due time passes or the policy changes.
+// Whether a request in other words asks for the same is told when the job is made.
+func (g *Gateway) earlier(c *caller) (job.Job, bool, error) {
+	key := c.r.Header.Get(headerIdempotencyKey)
+	if key == "" {
+		return job.Job{}, false, nil
+	}
 	found, err := g.jobs.Job(c.r.Context(), c.organisation, job.IDFor(c.organisation, key))
-	if err == nil && found.RequestHash != hash {
-		return job.Job{}, job.ErrNotFound
+	if errors.Is(err, job.ErrNotFound) {
+		return job.Job{}, false, nil
 	}
-	return found, err
+	return found, err == nil, err
+}
+
+// refused reports whether a request can't be met as it is, whatever the state of the platform.
+func refused(err error) bool {
+	var refusal *request.Refusal
+	return errors.As(err, &refusal) || errors.Is(err, job.ErrNotFound)
 }
 
 func (g *Gateway) newJob(c *caller, body createBatchBody) (job.Job, error) {
