--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -67,10 +68,21 @@
 	if err := json.Unmarshal(data, &body); err != nil {
 		return request.Invalid("invalid_body", err.Error())
 	}
+	hash := document.HashOf(string(data))
+	if key := c.r.Header.Get(headerIdempotencyKey); key != "" {
+		found, err := g.resent(c, key, hash)
+		if !errors.Is(err, job.ErrNotFound) {
+			if err != nil {
+				return err
+			}
+			return g.writeBatch(c, found)
+		}
+	}
 	made, err := g.newJob(c, body)
 	if err != nil {
 		return err
 	}
+	made.RequestHash = hash
 	stored, err := g.jobs.Create(c.r.Context(), made)
 	if err != nil {
 		return err
@@ -79,6 +91,17 @@
 	return g.writeBatch(c, stored)
 }
 
+// resent returns the job that the very same request with the key made earlier. It comes before any check of the request:
+// what was accepted stays accepted when its file is deleted, its due time passes or the policy changes. Whether another
+// request asks for the same is told when the job is made.
+func (g *Gateway) resent(c *caller, key string, hash document.Hash) (job.Job, error) {
+	found, err := g.jobs.Job(c.r.Context(), c.organisation, job.IDFor(c.organisation, key))
+	if err == nil && found.RequestHash != hash {
+		return job.Job{}, job.ErrNotFound
+	}
+	return found, err
+}
+
 func (g *Gateway) newJob(c *caller, body createBatchBody) (job.Job, error) {
 	file, err := g.jobs.File(c.r.Context(), c.organisation, job.FileID(body.InputFileID))
 	if err != nil {
@@ -122,7 +145,7 @@
 	if err != nil {
 		return job.Job{}, err
 	}
-	made.Due, err = parseDue(body.Metadata, made.Due, now)
+	made.Due, err = parseDue(body.Metadata, made.Due, now, longestWindow(c.view.Policy))
 	return made, err
 }
 
@@ -140,7 +163,7 @@
 
 // parseDue returns the due time that the metadata asks for. One that has passed can't be met for certain; whether a
 // later one can is reported while the job runs.
-func parseDue(metadata map[string]string, due, now time.Time) (time.Time, error) {
+func parseDue(metadata map[string]string, due, now time.Time, longest time.Duration) (time.Time, error) {
 	given, ok := metadata[dueKey]
 	if !ok {
 		return due, nil
@@ -152,6 +175,9 @@
 	if !asked.After(now) {
 		return due, request.Invalid("due_unreachable", "the due time has passed")
 	}
+	if asked.Sub(now) > longest {
+		return due, request.Invalid("invalid_due", "the due time must come within "+longest.String())
+	}
 	return asked, nil
 }
 
@@ -228,12 +254,16 @@
 	return "/" + target
 }
 
+func longestWindow(policy document.Policy) time.Duration {
+	return time.Duration(policy.MaximumWindowHours) * time.Hour
+}
+
 func parseWindow(window string, policy document.Policy) (time.Duration, error) {
 	if window == "" {
 		window = "24h"
 	}
 	parsed, err := time.ParseDuration(window)
-	longest := time.Duration(policy.MaximumWindowHours) * time.Hour
+	longest := longestWindow(policy)
 	if err != nil || parsed <= 0 || parsed > longest {
 		return 0, request.Invalid("invalid_window", fmt.Sprintf("completion_window must be a time such as 24h, at most %s", longest))
 	}
--- a/internal/gateway/batch_test.go
+++ b/internal/gateway/batch_test.go
@@ -64,6 +64,6 @@
 			assert.Equal(t, dueRisk(made, job.Counts{Completed: tt.done}, tt.now), tt.want)
 		})
 	}
-	_, err := parseDue(map[string]string{dueKey: "2026-01-01T11:00:00Z"}, made.Due, now)
+	_, err := parseDue(map[string]string{dueKey: "2026-01-01T11:00:00Z"}, made.Due, now, time.Hour)
 	assert.ErrorContains(t, err, "due_unreachable")
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -81,6 +81,8 @@
 	Ended     time.Time
 	// Counts are final once the job has ended.
 	Counts Counts
+	// RequestHash is the hash of the request's body, to know a resend by.
+	RequestHash document.Hash
 	// BodyHash is the hash of the request that made the job.
 	BodyHash document.Hash
 }
