--- a/internal/job/model_test.go
+++ b/internal/job/model_test.go
@@ -7,9 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -20,119 +18,6 @@
 	"rhubarbrudder/internal/platform"
 )
 
-// fakePlatform is a table and an object store in memory whose answers are lost as its fate says.
-type fakePlatform struct {
-	rows    map[platform.Key]platform.Row
-	objects map[platform.ObjectName][]byte
-	// fate says for the next calls whether they succeed, apply without an answer, get lost, or are refused.
-	fate func() int
-}
-
-const (
-	fateGood = iota
-	fateApplied
-	fateLost
-	fateRefused
-)
-
-func (f *fakePlatform) Get(_ context.Context, key platform.Key) (platform.Row, error) {
-	row, ok := f.rows[key]
-	if !ok {
-		return row, platform.ErrNotFound
-	}
-	return row, nil
-}
-
-func (f *fakePlatform) Page(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
-	rows, err := f.All(ctx, partition)
-	rows = slices.DeleteFunc(rows, func(row platform.Row) bool { return row.Key.Sort <= after })
-	return rows[:min(limit, len(rows))], err
-}
-
-func (f *fakePlatform) All(_ context.Context, partition string) ([]platform.Row, error) {
-	var rows []platform.Row
-	for key, row := range f.rows {
-		if key.Partition == partition {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
-	return rows, nil
-}
-
-func (f *fakePlatform) Commit(_ context.Context, txn platform.Txn) error {
-	fate := f.fate()
-	switch fate {
-	case fateRefused:
-		return platform.ErrUnavailable
-	case fateLost:
-		return platform.ErrUnknown
-	}
-	for _, write := range txn.Writes {
-		if f.rows[write.Key].Version != write.Version {
-			if fate == fateApplied {
-				return platform.ErrUnknown
-			}
-			return platform.ErrConflict
-		}
-	}
-	for _, write := range txn.Writes {
-		switch write.Action {
-		case platform.ActionPut:
-			f.rows[write.Key] = platform.Row{
-				Key:     write.Key,
-				Version: write.Version + 1,
-				Data:    write.Data,
-			}
-		case platform.ActionDelete:
-			delete(f.rows, write.Key)
-		case platform.ActionCheck:
-		}
-	}
-	if fate == fateApplied {
-		return platform.ErrUnknown
-	}
-	return nil
-}
-
-// fakeObjects is the object store of a fake platform.
-type fakeObjects struct {
-	*fakePlatform
-}
-
-func (f fakeObjects) Put(_ context.Context, name platform.ObjectName, data []byte) error {
-	fate := f.fate()
-	switch fate {
-	case fateRefused:
-		return platform.ErrUnavailable
-	case fateLost:
-		return platform.ErrUnknown
-	}
-	f.objects[name] = bytes.Clone(data)
-	if fate == fateApplied {
-		return platform.ErrUnknown
-	}
-	return nil
-}
-
-func (f fakeObjects) Get(_ context.Context, name platform.ObjectName) ([]byte, error) {
-	data, ok := f.objects[name]
-	if !ok {
-		return nil, platform.ErrNotFound
-	}
-	return data, nil
-}
-
-func (f fakeObjects) Open(ctx context.Context, name platform.ObjectName) (io.ReadCloser, error) {
-	data, err := f.Get(ctx, name)
-	return io.NopCloser(bytes.NewReader(data)), err
-}
-
-func (f fakeObjects) Delete(_ context.Context, name platform.ObjectName) error {
-	delete(f.objects, name)
-	return nil
-}
-
 const (
 	modelLots    = 3
 	modelItems   = 4
