--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 # unit runs every test; failures listed in KNOWN-RED.txt are printed and passed over.
 unit: build
-	$(GO) test -json -timeout 15m -p 4 ./... | ./bin/verdict KNOWN-RED.txt
+	$(GO) test -count=1 -json -timeout 15m -p 4 ./... | ./bin/verdict KNOWN-RED.txt
 
 # race runs the packages whose tests are concurrent with the race detector.
 RACE = ./internal/platform ./internal/lease ./internal/job ./internal/dispatcher ./internal/steward \
