--- a/internal/dispatcher/item.go
+++ b/internal/dispatcher/item.go
@@ -16,7 +16,7 @@
 	// retryPause is the pause before the first retry of an item; it doubles with each.
 	retryPause = 100 * time.Millisecond
 	// unreachedTries is how often an item tries unreachable endpoints before it is left to another process;
-	// each hop allows one more.
+	// each time that the lot was handed on allows one more.
 	unreachedTries = 3
 	// onceTimeout bounds an item that may run at most once and so is never cancelled.
 	onceTimeout = 10 * time.Minute
@@ -49,7 +49,7 @@
 			return
 		}
 		pauses++
-		if cause.kind == failureUnreached && pauses > unreachedTries+r.lot.Hops {
+		if cause.kind == failureUnreached && pauses > unreachedTries+r.handedOn() {
 			r.defers(index)
 			return
 		}
@@ -63,15 +63,21 @@
 // left to another process, as often as it has attempts; after that, any endpoint will do.
 func (r *run) acquire(ctx context.Context, index int) (*steward.Grant, error) {
 	avoid := r.avoided(index)
-	grant, err := r.dispatcher.capacity.Acquire(ctx, r.active.Service, avoid)
-	if err != nil {
-		return nil, err
+	if r.handedOn() >= r.policy.Attempts {
+		avoid = nil
 	}
-	if avoid[grant.Endpoint.ID] && r.lot.Remainder+r.lot.Hops < r.policy.Attempts {
-		grant.Release()
+	grant, err := r.dispatcher.capacity.Acquire(ctx, r.active.Service, avoid)
+	if errors.Is(err, steward.ErrAvoided) {
 		return nil, errNoEndpoint
 	}
-	return grant, nil
+	return grant, err
+}
+
+// handedOn returns how often the lot's items were handed on.
+func (r *run) handedOn() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lot.Remainder + r.lot.Hops
 }
 
 // avoided returns the endpoints at which the item failed.
