--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -259,19 +260,20 @@
 	}
 	time.Sleep(time.Second)
 	latencies := make([]time.Duration, requests)
+	var group sync.WaitGroup
 	for i := range requests {
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(5*time.Millisecond)))
 		took := time.Duration((50 + 50*rng.Float64()) * float64(time.Millisecond))
-		go func() {
+		group.Go(func() {
 			began := time.Now()
 			leave, err := q.Enter(ctx, place("other", 1, 1))
 			assert.NilError(t, err)
 			time.Sleep(took)
 			leave()
 			latencies[i] = time.Since(began)
-		}()
+		})
 	}
-	time.Sleep(time.Minute)
+	group.Wait()
 	cancel()
 	time.Sleep(time.Second)
 	slices.Sort(latencies)
