--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -405,3 +406,32 @@
 		})
 	}
 }
+
+// TestAnswerIsStoredAfterAnOutage passes an answer on while the platform is down and stores it when it is back.
+func TestAnswerIsStoredAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTable()
+		n := newNetwork(f, 2)
+		claim, _, err := n.gateways[address(0)].Begin(t.Context(), name("key"), document.HashOf("request"), "1")
+		assert.NilError(t, err)
+		outage := make([]fate, 20)
+		for i := range outage {
+			outage[i] = fateUnavailable
+		}
+		f.meet(outage...)
+		began := time.Now()
+		claim.Finish(t.Context(), call.Answer{
+			Body: []byte("seat 4"),
+		})
+		assert.Equal(t, time.Since(began), 2*time.Second)
+		var reply call.Reply
+		assert.NilError(t, call.NewService(n.gateways[address(0)]).State(call.Query{
+			Attempt: "1",
+		}, &reply))
+		assert.Equal(t, reply.State, call.StateRunning)
+		n.gateways[address(0)].Wait(t.Context())
+		_, answer, err := n.gateways[address(1)].Begin(t.Context(), name("key"), document.HashOf("request"), "2")
+		assert.NilError(t, err)
+		assert.Equal(t, string(answer.Body), "seat 4")
+	})
+}
