--- /dev/null
+++ b/internal/call/fake_test.go
@@ -0,0 +1,176 @@
+package call_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"rhubarbrudder/internal/call"
+	"rhubarbrudder/internal/platform"
+)
+
+// fate is what becomes of one write.
+type fate string
+
+const (
+	fateApplied     fate = "applied"
+	fateAnswerLost  fate = "applied, answer lost"
+	fateWriteLost   fate = "lost"
+	fateDelayed     fate = "applied later, answer lost"
+	fateUnavailable fate = "refused"
+)
+
+// table is a naive table service whose writes meet the fates in order; it keeps objects too.
+type table struct {
+	mu      sync.Mutex
+	rows    map[platform.Key]platform.Row
+	objects map[platform.ObjectName][]byte
+	fates   []fate
+	delayed []platform.Write
+	commits int
+}
+
+func newTable() *table {
+	return &table{
+		rows:    map[platform.Key]platform.Row{},
+		objects: map[platform.ObjectName][]byte{},
+	}
+}
+
+func (f *table) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *table) apply(write platform.Write) error {
+	if write.Condition == platform.ConditionVersion && f.rows[write.Key].Version != write.Version {
+		return platform.ErrConflict
+	}
+	f.rows[write.Key] = platform.Row{
+		Key:     write.Key,
+		Version: write.Version + 1,
+		Data:    write.Data,
+	}
+	return nil
+}
+
+func (f *table) Commit(_ context.Context, txn platform.Txn) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	next := fateApplied
+	if len(f.fates) > 0 {
+		next, f.fates = f.fates[0], f.fates[1:]
+	}
+	write := txn.Writes[0]
+	switch next {
+	case fateAnswerLost:
+		_ = f.apply(write)
+		return platform.ErrUnknown
+	case fateWriteLost:
+		return platform.ErrUnknown
+	case fateDelayed:
+		f.delayed = append(f.delayed, write)
+		return platform.ErrUnknown
+	case fateUnavailable:
+		return platform.ErrUnavailable
+	default:
+		return f.apply(write)
+	}
+}
+
+// land applies the oldest delayed write, if its condition still holds.
+func (f *table) land() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.delayed) > 0 {
+		_ = f.apply(f.delayed[0])
+		f.delayed = f.delayed[1:]
+	}
+}
+
+// meet sets the fates of the next writes.
+func (f *table) meet(fates ...fate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fates = fates
+}
+
+func (f *table) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.commits
+}
+
+// objectStore is the table's objects.
+type objectStore struct {
+	table *table
+}
+
+func (o objectStore) Put(_ context.Context, name platform.ObjectName, data []byte) error {
+	o.table.mu.Lock()
+	defer o.table.mu.Unlock()
+	o.table.objects[name] = data
+	return nil
+}
+
+func (o objectStore) Get(_ context.Context, name platform.ObjectName) ([]byte, error) {
+	o.table.mu.Lock()
+	defer o.table.mu.Unlock()
+	return o.table.objects[name], nil
+}
+
+// network carries queries between gateways that are not cut off.
+type network struct {
+	gateways map[string]*call.Calls
+	cut      map[string]bool
+}
+
+var errCut = errors.New("cut off")
+
+func (n *network) Call(_ context.Context, address, _ string, args, reply any) error {
+	target, ok := n.gateways[address]
+	if !ok || n.cut[address] {
+		return errCut
+	}
+	return call.NewService(target).State(args.(call.Query), reply.(*call.Reply))
+}
+
+func (n *network) start(f *table, address string) {
+	n.gateways[address] = call.New(f, objectStore{
+		table: f,
+	}, n, call.Owner{
+		Member:  address,
+		Address: address,
+	}, slog.New(slog.DiscardHandler))
+}
+
+func newNetwork(f *table, gateways int) *network {
+	n := &network{
+		gateways: map[string]*call.Calls{},
+		cut:      map[string]bool{},
+	}
+	for i := range gateways {
+		n.start(f, address(i))
+	}
+	return n
+}
+
+func address(i int) string {
+	return fmt.Sprintf("gateway-%d", i)
+}
+
+func name(key string) call.Name {
+	return call.Name{
+		Organisation: "lawinenwerk",
+		Service:      "booking",
+		Key:          key,
+	}
+}
