Orders: one issuer a service keeps its engines as the document wants

Cause: nothing ordered engines. Each service has one issuer, a controller that holds the service's term: a table row that it renews four times a term. A peer takes over, with a higher fencing number, after it saw the row unchanged for a term on its own clock. The issuer asks its term again as the order is written to the connection. For engines that ignore fences a new issuer first waits a term and Timing.LongestOrder, then reads what they hold. An engine that must load is drained first (gateways and dispatchers are told, with the fence, for 6 s at a time), and no more than MaximumUnavailable of a service is out; 0 means no roll-out. As many engines as Capacity wants hold the model. Loads keep to a rate of the weight store.

Seen failing with the mechanism off: guard at the connection: TestLapsedOrderIsNotWritten; no waiting: TestTermIsTakenOverOnceItLapsed; no share: TestPlan; no drain: TestRollOut (404); the term never checked: TestOldIssuerIsNotObeyed, engines that ignore fences (a lower fence obeyed after a higher). Not failing: that test with only the clock ignored, because the refused renewal ends the term too before the order goes out.

Not closed: a freeze of some hundred nanoseconds' width between the last check and the write, for engines that ignore fences; the new issuer then orders again, for it goes on comparing. Not done: roles (the document has no field for them), the weight store's rate in the settings (2 GB/s a service, a constant).

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -22,6 +22,8 @@
 	byID    map[ID]Endpoint
 	rings   map[document.ServiceName]ring
 	leaving map[ID]time.Time
+	// drained says until when endpoints take no new work because an order is being carried out.
+	drained map[ID]drain
 	listed  []platform.VM
 	onLeave []func([]ID)
 }
@@ -136,7 +138,7 @@
 	serving := map[document.ServiceName][]Endpoint{}
 	for _, vm := range d.listed {
 		found, ok := Of(vm)
-		if _, leaving := d.leaving[found.ID]; !ok || leaving {
+		if _, leaving := d.leaving[found.ID]; !ok || leaving || time.Now().Before(d.drained[found.ID].until) {
 			continue
 		}
 		serving[found.Service] = append(serving[found.Service], found)
--- /dev/null
+++ b/internal/order/worker.go
@@ -0,0 +1,208 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"rhubarbrudder/internal/document"
+	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/explain"
+)
+
+// worker keeps the engines of one service while it holds the service's term.
+type worker struct {
+	issuer  *Issuer
+	service document.ServiceName
+	term    *term
+	sender  *sender
+	log     *slog.Logger
+	orders  sync.WaitGroup
+	mu      sync.Mutex
+	busy    map[endpoint.ID]bool
+	// nextLoad is when the weight store may be read again.
+	nextLoad time.Time
+}
+
+func newWorker(issuer *Issuer, service document.ServiceName) *worker {
+	held := newTerm(issuer.parts.Table, service, issuer.parts.Members.Self().ID(), issuer.parts.Limits)
+	return &worker{
+		issuer:  issuer,
+		service: service,
+		term:    held,
+		sender:  newSender(held.check),
+		log:     issuer.parts.Log.With("service", service),
+		busy:    map[endpoint.ID]bool{},
+	}
+}
+
+// releaseTimeout bounds the release of a term at the end.
+const releaseTimeout = 2 * time.Second
+
+// run keeps the term in a loop of its own, so that slow engines do not delay its renewal.
+func (w *worker) run(ctx context.Context) {
+	ordering, stop := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() {
+		every(ordering, w.issuer.parts.Limits.Term/(2*renewals), w.keep)
+	})
+	every(ctx, w.issuer.parts.Limits.Period, w.reconcile)
+	stop()
+	group.Wait()
+	w.mu.Lock()
+	idle := len(w.busy) == 0
+	w.mu.Unlock()
+	if !idle {
+		// The term lapses by itself; the next issuer waits for what is under way.
+		w.orders.Wait()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if err := w.term.release(ctx); err != nil {
+		w.log.Warn("order term not released", "err", err)
+	}
+}
+
+// every calls do each period until ctx ends.
+func every(ctx context.Context, period time.Duration, do func(ctx context.Context)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *worker) keep(ctx context.Context) {
+	before := w.term.check() == nil
+	held, err := w.term.step(ctx, w.issuer.wants(w.service))
+	if err != nil && ctx.Err() == nil {
+		w.log.Warn("order term not kept", "err", err)
+	}
+	if held && !before {
+		fence, unsettled := w.term.fence()
+		w.log.Info("order term held", "fence", fence, "unsettled", unsettled)
+	}
+}
+
+// reconcile compares what the engines serve with what they shall and gives the orders that may be given now.
+func (w *worker) reconcile(ctx context.Context) {
+	view, fresh := w.issuer.parts.Document.Fresh()
+	service, ok := view.Services[w.service]
+	if !fresh || !ok || w.term.check() != nil {
+		return
+	}
+	_, unsettled := w.term.fence()
+	wanted := desired(view, service)
+	for _, next := range plan(service, wanted, w.look(ctx)) {
+		if unsettled && !next.endpoint.ChecksFence {
+			continue
+		}
+		if next.loads && !w.mayLoad(view.Models[service.Model].WeightBytes) {
+			continue
+		}
+		w.mu.Lock()
+		w.busy[next.endpoint.ID] = true
+		w.mu.Unlock()
+		w.orders.Go(func() {
+			w.carryOut(ctx, next)
+			w.mu.Lock()
+			delete(w.busy, next.endpoint.ID)
+			w.mu.Unlock()
+		})
+	}
+}
+
+// mayLoad reports whether the weight store's rate allows another load now, and counts it.
+func (w *worker) mayLoad(bytes int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if now.Before(w.nextLoad) {
+		return false
+	}
+	seconds := float64(bytes) / w.issuer.parts.Limits.WeightBytesPerSecond
+	w.nextLoad = now.Add(time.Duration(seconds * float64(time.Second)))
+	return true
+}
+
+// looks is how many engines are asked at once.
+const looks = 64
+
+// look asks every engine of the service what it serves.
+func (w *worker) look(ctx context.Context) []engine {
+	endpoints := w.issuer.enginesOf(w.service)
+	engines := make([]engine, len(endpoints))
+	var group sync.WaitGroup
+	places := make(chan struct{}, looks)
+	for i, target := range endpoints {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			w.mu.Lock()
+			busy := w.busy[target.ID]
+			w.mu.Unlock()
+			state, err := w.sender.state(ctx, target)
+			engines[i] = engine{
+				endpoint: target,
+				reached:  err == nil,
+				state:    state,
+				busy:     busy,
+			}
+		})
+	}
+	group.Wait()
+	return engines
+}
+
+// carryOut drains the engine if need be and orders it.
+func (w *worker) carryOut(ctx context.Context, next step) {
+	if next.drains {
+		end, err := w.drain(ctx, next.endpoint)
+		defer end()
+		if err != nil {
+			return
+		}
+	}
+	fence, _ := w.term.fence()
+	limit := w.issuer.parts.Limits.LongestOrder
+	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	started := time.Now()
+	err := w.sender.send(sending, next.endpoint, Order{
+		Fence:                fence,
+		Issuer:               w.term.issuer,
+		Model:                next.wanted.Model,
+		Version:              next.wanted.Version,
+		Adapters:             next.wanted.Adapters,
+		DeadlineMilliseconds: limit.Milliseconds(),
+	})
+	w.issuer.parts.Notes.Note(explain.Subject(next.endpoint.ID), "ordered", fact("Model", string(next.wanted.Model)),
+		fact("Version", next.wanted.Version), fact("Fence", strconv.FormatInt(int64(fence), 10)), fact("Error", text(err)))
+	w.log.Info("engine ordered", "endpoint", next.endpoint.ID, "model", next.wanted.Model, "version", next.wanted.Version,
+		"fence", fence, "took", time.Since(started), "err", err)
+}
+
+func fact(name, value string) explain.Fact {
+	return explain.Fact{
+		Name:  name,
+		Value: value,
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+var errNotDrained = errors.New("order: engine not drained")
--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -5,12 +5,14 @@
 	"log/slog"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/oklog/run"
 
 	"rhubarbrudder/internal/controller"
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/fleet"
+	"rhubarbrudder/internal/order"
 	"rhubarbrudder/internal/settings"
 )
 
@@ -40,10 +42,21 @@
 		Log:       b.log,
 	})
 	b.status.AddCheck(served.Accepting)
+	issuer := order.New(order.Parts{
+		Table:    b.table,
+		Document: b.follower,
+		Members:  b.fleet,
+		Caller:   b.peers,
+		Limits:   order.DefaultLimits(time.Duration(s.Timing.SessionTerm), time.Duration(s.Timing.LongestOrder)),
+		Notes:    b.notes,
+		Log:      b.log,
+	})
+	b.fleet.OnList(issuer.Update)
 	group := &run.Group{}
 	if err := b.common(ctx, group, at); err != nil {
 		return err
 	}
+	add(group, issuer.Run)
 	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Operator), served.Handler()); err != nil {
 		return err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,8 @@
 	DocumentPoll Duration
 	// VMListPoll is the period of reads of the VM list.
 	VMListPoll Duration
+	// LongestOrder is how long an engine may take to carry out an order.
+	LongestOrder Duration
 	// Drain is how long a process that shuts down stays reachable for the balancer's lag.
 	Drain Duration
 	// FirstToken and Token are how long a model engine may send nothing, before the first token and between
@@ -130,6 +132,7 @@
 			Heartbeat:    Duration(500 * time.Millisecond),
 			DocumentPoll: Duration(time.Second),
 			VMListPoll:   Duration(time.Second),
+			LongestOrder: Duration(time.Minute),
 			Drain:        Duration(5 * time.Second),
 			FirstToken:   Duration(30 * time.Second),
 			Token:        Duration(10 * time.Second),
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -29,6 +29,8 @@
 	LoadLag time.Duration
 	// ChecksFence makes the engine refuse an order with an old fencing number.
 	ChecksFence bool
+	// LoadTime is how long an engine takes to load another model or version.
+	LoadTime time.Duration
 	// Models are the names served at the start.
 	Models []string
 }
