--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -26,6 +26,8 @@
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	closed bool
+	// traffic is nil if bytes are not counted.
+	traffic *Traffic
 }
 
 // NewServer returns a server without services.
@@ -43,6 +45,11 @@
 	return s.rpc.RegisterName(name, service)
 }
 
+// CountTraffic counts the bytes of connections; it must come before Serve.
+func (s *Server) CountTraffic(traffic *Traffic) {
+	s.traffic = traffic
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
@@ -53,6 +60,9 @@
 		if err != nil {
 			return err
 		}
+		if s.traffic != nil {
+			conn = s.traffic.count(conn)
+		}
 		go s.serve(conn)
 	}
 }
@@ -116,6 +126,8 @@
 	mu     sync.Mutex
 	conns  map[string]*rpc.Client
 	cut    map[string]bool
+	// traffic is nil if bytes are not counted.
+	traffic *Traffic
 }
 
 // NewPool returns a pool without connections.
@@ -127,6 +139,11 @@
 	}
 }
 
+// CountTraffic counts the bytes of connections; it must come before the first call.
+func (p *Pool) CountTraffic(traffic *Traffic) {
+	p.traffic = traffic
+}
+
 const dialTimeout = time.Second
 
 // Call calls a method of a peer. ErrUnreachable means that no answer came; the call may have run.
@@ -208,6 +225,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.traffic != nil {
+		conn = p.traffic.count(conn)
+	}
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	nonce := make([]byte, nonceBytes)
 	if _, err := io.ReadFull(conn, nonce); err != nil {
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -97,6 +97,12 @@
 			FailureDomain: s.VM.FailureDomain,
 		},
 	}
+	traffic := &peer.Traffic{}
+	b.peers.CountTraffic(traffic)
+	b.server.CountTraffic(traffic)
+	if err := traffic.Export(status.Meter()); err != nil {
+		return nil, startError(err)
+	}
 	b.notes = explain.New(b.self.ID())
 	b.store = document.NewStore(b.table, b.objects)
 	b.jobs = job.NewStore(b.table, b.objects)
