Orders: an engine is idle only once all know of the drain and requests arrived

Cause: on a busy machine TestRollOutTakesNoMoreThanTheStatedShareOut failed once (a request got 404): a process that could not be told in time was passed over, and a request sent to an engine chosen before the drain could arrive after the engine had been seen idle. All gateways and dispatchers alive must now have answered, and the engine must be idle half a second later.

--- a/internal/order/drain.go
+++ b/internal/order/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbrudder/internal/endpoint"
@@ -14,6 +15,8 @@
 	drainTerm = 6 * time.Second
 	// drainPeriod is the time between looks at an engine that is drained.
 	drainPeriod = 200 * time.Millisecond
+	// drainGrace is how long a request may be on its way to an endpoint that was chosen for it before the drain.
+	drainGrace = 500 * time.Millisecond
 	// drainCallTimeout bounds the call to one process.
 	drainCallTimeout = time.Second
 )
@@ -28,9 +31,9 @@
 		group.Wait()
 		w.tell(context.WithoutCancel(ctx), target, 0)
 	}
-	w.tell(ctx, target, drainTerm)
-	w.log.Info("engine draining", "endpoint", target.ID)
-	drained := time.Now()
+	told := w.tell(ctx, target, drainTerm)
+	w.log.Info("engine draining", "endpoint", target.ID, "told", told)
+	began, drained := time.Now(), time.Now()
 	group.Go(func() {
 		ticker := time.NewTicker(drainTerm / 3)
 		defer ticker.Stop()
@@ -44,15 +47,19 @@
 		}
 	})
 	limit := w.issuer.parts.Limits.DrainTimeout
-	for !w.idle(ctx, target, drained) {
+	for !told || !w.idle(ctx, target, drained.Add(drainGrace)) {
 		if ctx.Err() != nil || w.term.check() != nil {
 			return end, errNotDrained
 		}
-		if time.Since(drained) > limit {
+		if time.Since(began) > limit {
 			w.log.Warn("engine ordered though it has work", "endpoint", target.ID)
 			return end, nil
 		}
 		time.Sleep(drainPeriod)
+		if !told {
+			told = w.tell(ctx, target, drainTerm)
+			drained = time.Now()
+		}
 	}
 	return end, nil
 }
@@ -68,11 +75,12 @@
 	return asked.Add(-age).After(drained)
 }
 
-// tell tells every gateway and dispatcher to keep new work from the engine for the time.
-func (w *worker) tell(ctx context.Context, target endpoint.Endpoint, rest time.Duration) {
+// tell tells every gateway and dispatcher to keep new work from the engine for the time, and reports whether all know.
+func (w *worker) tell(ctx context.Context, target endpoint.Endpoint, rest time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, drainCallTimeout)
 	defer cancel()
 	fence, _ := w.term.fence()
+	var failed atomic.Bool
 	var group sync.WaitGroup
 	places := make(chan struct{}, looks)
 	for _, role := range []fleet.Role{fleet.RoleGateway, fleet.RoleDispatcher} {
@@ -87,10 +95,12 @@
 					Fence:        int64(fence),
 				}, &reply)
 				if err != nil {
+					failed.Store(true)
 					w.log.Debug("process not told of a drain", "member", member.ID(), "err", err)
 				}
 			})
 		}
 	}
 	group.Wait()
+	return !failed.Load()
 }
