--- a/internal/process/controller.go
+++ b/internal/process/controller.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	add(group, issuer.Run)
-	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Operator), served.Handler()); err != nil {
+	if err := b.serveHTTP(group, s.VM.Join(s.Ports.Operator), served.Handler(), s.TLS.Operator); err != nil {
 		return err
 	}
 	b.status.SetReady(true)
