Batch: an item that has failed at every endpoint of its holder is handed on

The dispatcher now relies on neither: it waits two seconds for another endpoint, then leaves the item to another process, or, after as many hand-ons as attempts, takes any endpoint.

--- a/internal/dispatcher/item.go
+++ b/internal/dispatcher/item.go
@@ -15,6 +15,8 @@
 const (
 	// retryPause is the pause before the first retry of an item; it doubles with each.
 	retryPause = 100 * time.Millisecond
+	// distinctWait is how long an item waits for an endpoint at which it has not failed.
+	distinctWait = 2 * time.Second
 	// unreachedTries is how often an item tries unreachable endpoints before it is left to another process;
 	// each time that the lot was handed on allows one more.
 	unreachedTries = 3
@@ -63,15 +65,33 @@
 // left to another process, as often as it has attempts; after that, any endpoint will do.
 func (r *run) acquire(ctx context.Context, index int) (*steward.Grant, error) {
 	avoid := r.avoided(index)
-	grant, err := r.dispatcher.capacity.Acquire(ctx, r.active.Service, avoid)
-	if err != nil {
-		return nil, err
+	if len(avoid) == 0 {
+		return r.dispatcher.capacity.Acquire(ctx, r.active.Service, nil)
 	}
-	if avoid[grant.Endpoint.ID] && r.handedOn() < r.policy.Attempts {
+	handOn := r.handedOn() < r.policy.Attempts
+	grant, err := r.acquireSoon(ctx, avoid)
+	switch {
+	case err == nil && handOn && avoid[grant.Endpoint.ID]:
 		grant.Release()
 		return nil, errNoEndpoint
+	case err == nil || ctx.Err() != nil || errors.Is(err, steward.ErrNotOwner):
+		return grant, err
+	case handOn:
+		return nil, errNoEndpoint
+	}
+	return r.dispatcher.capacity.Acquire(ctx, r.active.Service, nil)
+}
+
+// acquireSoon waits for a slot, but not for long. The grant lasts as long as ctx.
+func (r *run) acquireSoon(ctx context.Context, avoid map[endpoint.ID]bool) (*steward.Grant, error) {
+	wait, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(distinctWait, cancel)
+	defer timer.Stop()
+	grant, err := r.dispatcher.capacity.Acquire(wait, r.active.Service, avoid)
+	if err != nil {
+		cancel()
 	}
-	return grant, nil
+	return grant, err
 }
 
 // handedOn returns how often the lot's items were handed on.
