--- a/internal/endpoint/picker.go
+++ b/internal/endpoint/picker.go
@@ -86,10 +86,10 @@
 }
 
 const (
-	// draws is how many endpoints are drawn to find one that may be used.
-	draws = 4
 	// prefixGain is how much the endpoint that requests with the same prompt prefix share is preferred, in online requests.
-	prefixGain = 1.0
+	prefixGain = 0.5
+	// jitter is the most that chance adds to a cost, so that gateways that know the same choose differently.
+	jitter = 0.2
 )
 
 // pick is one choice under way.
@@ -101,8 +101,8 @@
 	least float64
 }
 
-// Pick returns the best of an endpoint drawn from the own failure domain, one drawn from all, and the one that
-// requests with the same prompt prefix share; none that was tried yet, and an ejected one only if there is no other.
+// Pick returns the endpoint of the gateway's subset with the least cost, a little less for the one that requests with
+// the same prompt prefix share; none that was tried yet, and an ejected one only if there is no other.
 func (p *Picker) Pick(service document.ServiceName, shape request.Shape, tried map[ID]bool) (Endpoint, bool) {
 	c := pick{
 		table: p.table(service),
@@ -113,12 +113,17 @@
 	if len(c.table.endpoints) == 0 {
 		return Endpoint{}, false
 	}
+	shared := -1
 	if shape.PrefixKey != "" {
-		shared, _ := c.table.ring.at(xxhash.Sum64String(shape.PrefixKey))
-		c.consider(shared, -prefixGain)
+		shared, _ = c.table.ring.at(xxhash.Sum64String(shape.PrefixKey))
+	}
+	for at := range c.table.endpoints {
+		extra := jitter * rand.Float64()
+		if at == shared {
+			extra -= prefixGain
+		}
+		c.consider(at, extra)
 	}
-	c.draw(c.table.domain)
-	c.draw(len(c.table.endpoints))
 	if c.best < 0 {
 		c.scan(false)
 	}
@@ -150,30 +155,17 @@
 	return Endpoint{}, false
 }
 
-// draw considers one usable endpoint of the first n.
-func (c *pick) draw(n int) {
-	if n == 0 {
-		return
-	}
-	for range draws {
-		if c.consider(rand.IntN(n), 0) {
-			return
-		}
-	}
-}
-
-// consider takes an endpoint if it is better than what was found, and reports whether it may be used.
-func (c *pick) consider(at int, extra float64) bool {
+// consider takes an endpoint if it may be used and is better than what was found.
+func (c *pick) consider(at int, extra float64) {
 	if c.tried[c.table.endpoints[at].ID] {
-		return false
+		return
 	}
 	s := c.table.states[at]
 	share := s.share(c.now)
 	if share < 1 && rand.Float64() >= share {
-		return false
+		return
 	}
 	c.take(at, s.cost(c.now)+extra)
-	return true
 }
 
 func (c *pick) take(at int, cost float64) {
--- a/internal/endpoint/picker_test.go
+++ b/internal/endpoint/picker_test.go
@@ -308,3 +308,18 @@
 		})
 	}
 }
+
+func TestOwnFailureDomainUnlessWorse(t *testing.T) {
+	tracker := NewTracker()
+	picker := NewPicker(enginesOf(3), tracker, gatewaysOf(3, 1))
+	const own ID = "engine-1/1"
+	for range 50 {
+		got, _ := picker.Pick(testService, request.Shape{}, nil)
+		assert.Equal(t, got.ID, own)
+	}
+	tracker.Start(own, request.ClassOnline)
+	for range 50 {
+		got, _ := picker.Pick(testService, request.Shape{}, nil)
+		assert.Assert(t, got.ID != own)
+	}
+}
--- a/internal/endpoint/tracker.go
+++ b/internal/endpoint/tracker.go
@@ -22,7 +22,6 @@
 	online   atomic.Int64
 	batch    atomic.Int64
 	peers    atomic.Int64
-	peerWork atomic.Int64
 	heard    atomic.Int64
 	failures atomic.Int64
 	ejected  atomic.Int64
@@ -83,7 +82,6 @@
 func (t *Tracker) HearFleet(id ID, own int, load FleetLoad) {
 	s := t.state(id)
 	s.peers.Store(int64(max(0, load.Online-own)))
-	s.peerWork.Store(int64(load.Batch))
 	s.heard.Store(t.now())
 }
 
@@ -149,15 +147,17 @@
 const (
 	// batchCost is how much a batch request, which yields, counts against an endpoint beside an online one.
 	batchCost = 0.25
+	// peersCost is how much a request of another gateway counts: it may have ended, and all gateways hear of it.
+	peersCost = 0.3
 	// foreignCost is how much another failure domain counts.
-	foreignCost = 0.5
+	foreignCost = 0.2
 )
 
 // cost estimates the work at an endpoint, in online requests.
 func (s *state) cost(now int64) float64 {
 	cost := float64(s.online.Load()) + batchCost*float64(s.batch.Load())
 	if heard := s.heard.Load(); heard != 0 && now-heard < int64(fleetKept) {
-		cost += float64(s.peers.Load()) + batchCost*float64(s.peerWork.Load())
+		cost += peersCost * float64(s.peers.Load())
 	}
 	return cost
 }
