--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -388,6 +388,6 @@
 	if !cancelled.State.Ended() {
 		g.cancel.Cancel(cancelled.ID)
 	}
-	g.log.Info("batch cancelled", "request", c.id, "organisation", c.organisation, "job", cancelled.ID)
+	g.log.Info("batch cancellation answered", "request", c.id, "organisation", c.organisation, "job", cancelled.ID, "state", cancelled.State)
 	return g.writeBatch(c, cancelled)
 }
