Model of claims: writes that take effect late

Cause: the property test lost and refused writes but let none arrive after its writer gave up, though spec/lot.pml does. The fake table now holds some back and lets them arrive at any later step, objects too.

--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -14,8 +14,10 @@
 type fakePlatform struct {
 	rows    map[platform.Key]platform.Row
 	objects map[platform.ObjectName][]byte
-	// fate says for the next calls whether they succeed, apply without an answer, get lost, or are refused.
+	// fate says for the next calls whether they succeed, apply without an answer, get lost, are refused, or come late.
 	fate func() int
+	// late are writes that take effect after their writer gave up.
+	late []func()
 }
 
 const (
@@ -23,8 +25,16 @@
 	fateApplied
 	fateLost
 	fateRefused
+	fateLate
 )
 
+// arrive lets a late write take effect.
+func (f *fakePlatform) arrive(at int) {
+	take := f.late[at]
+	f.late = slices.Delete(f.late, at, at+1)
+	take()
+}
+
 func (f *fakePlatform) Get(_ context.Context, key platform.Key) (platform.Row, error) {
 	row, ok := f.rows[key]
 	if !ok {
@@ -57,12 +67,20 @@
 		return platform.ErrUnavailable
 	case fateLost:
 		return platform.ErrUnknown
+	case fateLate:
+		f.late = append(f.late, func() { _ = f.apply(txn) })
+		return platform.ErrUnknown
 	}
+	err := f.apply(txn)
+	if fate == fateApplied {
+		return platform.ErrUnknown
+	}
+	return err
+}
+
+func (f *fakePlatform) apply(txn platform.Txn) error {
 	for _, write := range txn.Writes {
 		if f.rows[write.Key].Version != write.Version {
-			if fate == fateApplied {
-				return platform.ErrUnknown
-			}
 			return platform.ErrConflict
 		}
 	}
@@ -79,9 +97,6 @@
 		case platform.ActionCheck:
 		}
 	}
-	if fate == fateApplied {
-		return platform.ErrUnknown
-	}
 	return nil
 }
 
@@ -97,6 +112,9 @@
 		return platform.ErrUnavailable
 	case fateLost:
 		return platform.ErrUnknown
+	case fateLate:
+		f.late = append(f.late, func() { f.objects[name] = bytes.Clone(data) })
+		return platform.ErrUnknown
 	}
 	f.objects[name] = bytes.Clone(data)
 	if fate == fateApplied {
--- a/internal/job/model_test.go
+++ b/internal/job/model_test.go
@@ -282,7 +282,8 @@
 	}
 }
 
-// TestModelOfClaims drives claims, lapses, takeovers, checkpoints, splits, commits and cancellation while answers are lost.
+// TestModelOfClaims drives claims, lapses, takeovers, checkpoints, splits, commits and cancellation while answers
+// are lost and writes come late.
 func TestModelOfClaims(t *testing.T) {
 	assert.NilError(t, flag.Set("rapid.seed", "1"))
 	ended := 0
@@ -302,6 +303,11 @@
 			"item 3": m.finishItem,
 			"commit": m.commit,
 			"lapse":  m.lapse,
+			"late": func(t *rapid.T) {
+				if count := len(m.platform.late); count > 0 {
+					m.platform.arrive(rapid.IntRange(0, count-1).Draw(t, "late"))
+				}
+			},
 			"finish": func(*rapid.T) { _, _ = m.store.Finish(context.Background(), m.id) },
 			"cancel": func(t *rapid.T) {
 				if cancels && rapid.IntRange(0, 9).Draw(t, "dice") == 0 {
@@ -324,7 +330,7 @@
 func drawFates(t *rapid.T) []int {
 	var fates []int
 	for range 8 {
-		fate := rapid.SampledFrom([]int{fateGood, fateGood, fateApplied, fateLost, fateRefused}).Draw(t, "fate")
+		fate := rapid.SampledFrom([]int{fateGood, fateGood, fateApplied, fateLost, fateRefused, fateLate}).Draw(t, "fate")
 		for range rapid.IntRange(1, 6).Draw(t, "lasts") {
 			fates = append(fates, fate)
 		}
@@ -341,6 +347,9 @@
 	last := m.worker()
 	m.workers = []*modelWorker{last}
 	for range 20 * modelLots {
+		if len(m.platform.late) > 0 {
+			m.platform.arrive(0)
+		}
 		m.claim(t)
 		for id, held := range last.held {
 			for len(held.left()) > 0 {
