Explain what a gateway refused, broke off or gave up

Cause: explain of a request said no more than where it was sent; a refused caller's question could only be answered from logs. Ruled out: a note for every served request, which would push the others out of the bounded memory.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/explain"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/organisation"
@@ -84,6 +85,7 @@
 	queue    Queue
 	limiter  Limiter
 	timeouts Timeouts
+	notes    *explain.Recorder
 	log      *slog.Logger
 }
 
@@ -98,7 +100,9 @@
 	Queue    Queue
 	Limiter  Limiter
 	Timeouts Timeouts
-	Log      *slog.Logger
+	// Notes may be nil.
+	Notes *explain.Recorder
+	Log   *slog.Logger
 }
 
 // New returns a gateway.
@@ -113,6 +117,7 @@
 		queue:    parts.Queue,
 		limiter:  parts.Limiter,
 		timeouts: parts.Timeouts,
+		notes:    parts.Notes,
 		log:      parts.Log,
 	}
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"rhubarbrudder/internal/explain"
 	"rhubarbrudder/internal/request"
 	"rhubarbrudder/internal/telemetry"
 )
@@ -41,14 +42,23 @@
 func (g *Gateway) refuse(c *caller, err error) {
 	if errors.Is(err, errBegun) {
 		g.log.Warn("answer broken off", "request", c.id, "organisation", c.organisation, "err", err)
+		g.note(c, "answer broken off after it had begun")
 		panic(http.ErrAbortHandler)
 	}
 	if errors.Is(err, context.Canceled) && c.r.Context().Err() != nil {
 		g.log.Info("caller gone", "request", c.id, "organisation", c.organisation)
+		g.note(c, "given up: the caller left")
 		return
 	}
 	refusal := refusalOf(err, c.ticket)
 	g.log.Info("request refused", "request", c.id, "organisation", c.organisation, "code", refusal.Code, "outcome", refusal.Outcome(), "err", err)
+	g.note(c, "refused: "+refusal.Message, explain.Fact{
+		Name:  "code",
+		Value: refusal.Code,
+	}, explain.Fact{
+		Name:  "outcome",
+		Value: refusal.Outcome(),
+	})
 	header := c.w.Header()
 	header.Set(headerOutcome, refusal.Outcome())
 	header.Set(telemetry.HeaderCode, refusal.Code)
@@ -64,6 +74,15 @@
 	})
 }
 
+// note keeps what was decided about a caller's request, for operators.
+func (g *Gateway) note(c *caller, decision string, evidence ...explain.Fact) {
+	evidence = append(evidence, explain.Fact{
+		Name:  "organisation",
+		Value: string(c.organisation),
+	})
+	g.notes.Note(explain.Subject(c.id), decision, evidence...)
+}
+
 func errorType(status int) string {
 	switch {
 	case status == http.StatusTooManyRequests:
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -72,7 +72,8 @@
 			Body:  time.Duration(s.Timing.Body),
 			Write: time.Duration(s.Timing.Write),
 		},
-		Log: b.log,
+		Notes: b.notes,
+		Log:   b.log,
 	})
 	group := &run.Group{}
 	if err := b.common(ctx, group, at); err != nil {
