Test: wait for the takeover of the stopped dispatcher's own lots

Neither is a fault of the product. The first thawed its dispatcher as soon as any lot had a second claim, here one that another dispatcher had handed on; the frozen one's lots had not been taken over yet, so that no commit of its was refused. The second read a counter that the writer raises after the write. Ruled out: a lost fence; the log shows the session lost and the lot claimed anew.

Now the test notes which lots the stopped dispatcher holds and waits until another session has one of them, and fails if it holds none, which is stricter; the holder is found from the table in place of logs. The counters are waited for to be equal.

--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"rhubarbrudder/internal/peer"
 )
@@ -36,8 +37,13 @@
 		assert.NilError(t, pool.Call(t.Context(), listener.Addr().String(), "Echo.Say", "hello", &reply))
 		assert.Equal(t, reply, "hello")
 	}
-	assert.Equal(t, called.Sent(), served.Received())
-	assert.Equal(t, called.Received(), served.Sent())
+	// A side counts what it sent after the write, which the other may have read by then.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if called.Sent() == served.Received() && called.Received() == served.Sent() {
+			return poll.Success()
+		}
+		return poll.Continue("called sent %d and received %d, served received %d and sent %d", called.Sent(), called.Received(), served.Received(), served.Sent())
+	})
 	assert.Assert(t, called.Sent() > 3*int64(len("hello")))
 	pool.Close()
 	assert.NilError(t, listener.Close())
--- a/test/batch_cancel_test.go
+++ b/test/batch_cancel_test.go
@@ -241,11 +241,12 @@
 	killed := (frozen + 1) % 3
 	left := processName(fleet.RoleDispatcher, (frozen+2)%3)
 	c.signal(fleet.RoleDispatcher, frozen, syscall.SIGSTOP)
+	held := c.heldBy(frozen)
 	c.signal(fleet.RoleDispatcher, killed, syscall.SIGKILL)
 	waitFor(t, "takeovers", readyTimeout, func() bool {
 		return strings.Count(c.processes[left].text(), "session taken over") == 2
 	})
-	c.waitTakeover()
+	c.waitTakeover(held)
 	c.signal(fleet.RoleDispatcher, frozen, syscall.SIGCONT)
 	waitStatus(t, c.client(2), string(check.id), openai.BatchStatusCompleted)
 	assert.Assert(t, check.row(t).Once)
--- a/test/batch_fault_test.go
+++ b/test/batch_fault_test.go
@@ -9,9 +9,13 @@
 	"time"
 
 	"github.com/openai/openai-go/v3"
+	"github.com/tidwall/gjson"
+	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/job"
+	"rhubarbrudder/internal/lease"
+	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/standin"
 )
 
@@ -48,23 +52,47 @@
 	})
 }
 
-// holder returns the VM whose dispatcher claimed most lots.
+// heldBy returns the sessions of the lots that a VM's dispatcher holds, by the rows' keys.
+func (c *cluster) heldBy(vm int) map[platform.Key]lease.SessionID {
+	own := map[lease.SessionID]bool{}
+	for _, row := range c.platform.Table.Rows("Session") {
+		if gjson.GetBytes(row.Data, "Holder").String() == fmt.Sprintf("vm-%d", vm) {
+			own[lease.SessionID(row.Key.Sort)] = true
+		}
+	}
+	held := map[platform.Key]lease.SessionID{}
+	for _, row := range c.platform.Table.Rows("Lot/") {
+		var lot job.Lot
+		if json.Unmarshal(row.Data, &lot) == nil && lot.State == job.LotClaimed && own[lot.Session] {
+			held[row.Key] = lot.Session
+		}
+	}
+	return held
+}
+
+// holder waits for a VM whose dispatcher holds lots and returns the one that holds most.
 func (c *cluster) holder() int {
 	most, found := 0, 0
-	for vm := range c.options.vms {
-		if claimed := strings.Count(c.processes[processName(fleet.RoleDispatcher, vm)].text(), "lot claimed"); claimed > most {
-			most, found = claimed, vm
+	waitFor(c.t, "a dispatcher to hold a lot", readyTimeout, func() bool {
+		for vm := range c.options.vms {
+			if held := len(c.heldBy(vm)); held > most {
+				most, found = held, vm
+			}
 		}
-	}
+		return most > 0
+	})
 	return found
 }
 
-// waitTakeover waits until a lot was claimed anew.
-func (c *cluster) waitTakeover() {
+// waitTakeover waits until another dispatcher claimed one of the lots that a stopped dispatcher held.
+func (c *cluster) waitTakeover(held map[platform.Key]lease.SessionID) {
+	c.t.Helper()
+	assert.Assert(c.t, len(held) > 0, "the dispatcher held nothing when it was stopped")
 	waitFor(c.t, "a lot to be taken over", readyTimeout, func() bool {
 		for _, row := range c.platform.Table.Rows("Lot/") {
 			var lot job.Lot
-			if json.Unmarshal(row.Data, &lot) == nil && lot.Claim > 1 {
+			before, ours := held[row.Key]
+			if ours && json.Unmarshal(row.Data, &lot) == nil && lot.Session != before {
 				return true
 			}
 		}
@@ -105,9 +133,10 @@
 			net:  31,
 			runs: 40,
 			fault: func(c *cluster) {
-				kill(c, fleet.RoleDispatcher, c.holder())
+				victim := c.holder()
+				kill(c, fleet.RoleDispatcher, victim)
 				killed := time.Now()
-				c.waitTakeover()
+				c.waitTakeover(c.heldBy(victim))
 				c.t.Logf("work of the killed dispatcher resumed after %s", time.Since(killed).Round(time.Millisecond))
 			},
 		},
@@ -117,7 +146,7 @@
 			fault: func(c *cluster) {
 				frozen := c.holder()
 				c.signal(fleet.RoleDispatcher, frozen, syscall.SIGSTOP)
-				c.waitTakeover()
+				c.waitTakeover(c.heldBy(frozen))
 				c.signal(fleet.RoleDispatcher, frozen, syscall.SIGCONT)
 				waitFor(c.t, "the old holder's commit to be refused", readyTimeout, func() bool {
 					return strings.Contains(c.processes[processName(fleet.RoleDispatcher, frozen)].text(), "claim lost")
