--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(GO) test -count=1 -json -timeout 15m -p 4 ./... | ./bin/verdict KNOWN-RED.txt
 
 # race runs the packages whose tests are concurrent with the race detector.
-RACE = ./internal/platform ./internal/lease ./internal/job ./internal/dispatcher ./internal/steward \
+RACE = ./internal/tablestore ./internal/lease ./internal/job ./internal/dispatcher ./internal/steward \
 	./internal/endpoint ./internal/router ./internal/organisation ./internal/document ./internal/fleet \
 	./internal/peer ./internal/gateway ./internal/controller ./internal/call ./internal/queue ./internal/request
 race: build
--- /dev/null
+++ b/internal/batch/ledger.go
@@ -0,0 +1,321 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/samber/oops"
+
+	"rhubarbrudder/internal/store"
+)
+
+// Tables of batch jobs. All rows of a job lie in one part, as a transaction can't span parts.
+const (
+	tableJobs    store.Table = "jobs"
+	tableClaims  store.Table = "claims"
+	tableItems   store.Table = "items"
+	tableResults store.Table = "results"
+	tableLedger  store.Table = "ledger"
+	// part holds all jobs: the tokens that wait must be summed over all of them, and one part takes several times
+	// the writes of today's fleet.
+	part store.Part = "0"
+)
+
+const (
+	// chunkBytes is the size of the rows that hold a job's items, below the store's 64 KiB.
+	chunkBytes = 60_000
+	// maxChunks is how many such rows a transaction takes, with room for base64 in its 1 MB.
+	maxChunks = 11
+	// maxOutputBytes is how much output one transaction writes, with room for base64 in its 1 MB.
+	maxOutputBytes = 600_000
+	// maxCommitRows bounds the rows of a transaction, below the store's 100.
+	maxCommitRows = 80
+)
+
+// ledger reads and writes the rows of jobs.
+type ledger struct {
+	store store.Store
+}
+
+func address(table store.Table, key string) store.Address {
+	return store.Address{
+		Table: table,
+		Part:  part,
+		Key:   store.Key(key),
+	}
+}
+
+// encodeItems returns the items in chunks.
+func encodeItems(items []Item) ([][]byte, error) {
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(items); err != nil {
+		return nil, oops.In("batch").Wrap(err)
+	}
+	var chunks [][]byte
+	for data := buffer.Bytes(); len(data) > 0; {
+		size := min(chunkBytes, len(data))
+		chunks = append(chunks, data[:size])
+		data = data[size:]
+	}
+	return chunks, nil
+}
+
+func chunkKey(id JobID, n int) string {
+	return fmt.Sprintf("%s/%03d", id, n)
+}
+
+func resultKey(id JobID, position, piece int) string {
+	return fmt.Sprintf("%s/%05d/%03d", id, position, piece)
+}
+
+// keysOf is the range of a job's keys in a table of several rows a job.
+func keysOf(table store.Table, id JobID, from string) store.Range {
+	return store.Range{
+		Table: table,
+		Part:  part,
+		From:  store.Key(from),
+		To:    store.Key(string(id) + "0"),
+	}
+}
+
+// insert writes a job that must not exist yet.
+func (l *ledger) insert(ctx context.Context, id JobID, m manifest, c claim, chunks [][]byte, also store.Transaction) (store.Commit, error) {
+	m.Chunks = len(chunks)
+	if len(chunks) > maxChunks {
+		m.Chunks = 0
+		if err := l.store.PutObject(ctx, objectName(id), bytes.Join(chunks, nil)); err != nil && !errors.Is(err, store.ErrConflict) {
+			return store.Commit{}, err
+		}
+		chunks = nil
+	}
+	head, err := json.Marshal(m)
+	if err != nil {
+		return store.Commit{}, oops.In("batch").Wrap(err)
+	}
+	open, err := json.Marshal(c)
+	if err != nil {
+		return store.Commit{}, oops.In("batch").Wrap(err)
+	}
+	txn := store.Transaction{
+		Expect: append(also.Expect, store.Expectation{
+			Address: address(tableJobs, string(id)),
+		}),
+		Put: append(also.Put, store.Put{
+			Address: address(tableJobs, string(id)),
+			Value:   head,
+		}, store.Put{
+			Address: address(tableClaims, string(id)),
+			Value:   open,
+		}),
+	}
+	for n, chunk := range chunks {
+		txn.Put = append(txn.Put, store.Put{
+			Address: address(tableItems, chunkKey(id, n)),
+			Value:   chunk,
+		})
+	}
+	return l.store.Commit(ctx, txn)
+}
+
+func objectName(id JobID) string {
+	return "items-" + string(id)
+}
+
+// manifest returns what never changes of a job, or ErrNotFound.
+func (l *ledger) manifest(ctx context.Context, id JobID) (manifest, store.Clock, error) {
+	var m manifest
+	page, err := l.row(ctx, tableJobs, id)
+	if err != nil {
+		return m, 0, err
+	}
+	if len(page.Rows) == 0 {
+		return m, page.Clock, ErrNotFound
+	}
+	err = json.Unmarshal(page.Rows[0].Value, &m)
+	return m, page.Clock, oops.In("batch").Wrap(err)
+}
+
+// row reads the row of a job in a table of one row a job.
+func (l *ledger) row(ctx context.Context, table store.Table, id JobID) (store.Page, error) {
+	return l.store.Read(ctx, store.Range{
+		Table: table,
+		Part:  part,
+		From:  store.Key(id),
+		To:    store.Key(string(id) + "\x00"),
+	})
+}
+
+// claim returns the claim on a job and its revision; revision zero means that the job is complete or ended.
+func (l *ledger) claim(ctx context.Context, id JobID) (claim, store.Revision, error) {
+	page, err := l.row(ctx, tableClaims, id)
+	if err != nil || len(page.Rows) == 0 {
+		return claim{}, 0, err
+	}
+	c, err := decodeClaim(page.Rows[0])
+	return c, page.Rows[0].Revision, err
+}
+
+func decodeClaim(row store.Row) (claim, error) {
+	var c claim
+	err := json.Unmarshal(row.Value, &c)
+	return c, oops.In("batch").Wrap(err)
+}
+
+// claims returns the claims on all jobs that are open.
+func (l *ledger) claims(ctx context.Context) (store.Page, error) {
+	return store.ReadAll(ctx, l.store, store.Range{
+		Table: tableClaims,
+		Part:  part,
+	})
+}
+
+// write puts a claim and other rows if the claim still has the revision.
+func (l *ledger) write(ctx context.Context, id JobID, revision store.Revision, c claim, puts []store.Put) (store.Revision, error) {
+	value, err := json.Marshal(c)
+	if err != nil {
+		return 0, oops.In("batch").Wrap(err)
+	}
+	txn := store.Transaction{
+		Expect: []store.Expectation{
+			{
+				Address:  address(tableClaims, string(id)),
+				Revision: revision,
+			},
+		},
+		Put: append(puts, store.Put{
+			Address: address(tableClaims, string(id)),
+			Value:   value,
+		}),
+	}
+	commit, err := l.store.Commit(ctx, txn)
+	return commit.Revision, err
+}
+
+// finish drops a claim, with the last results, if it still has the revision.
+func (l *ledger) finish(ctx context.Context, id JobID, revision store.Revision, puts []store.Put) error {
+	_, err := l.store.Commit(ctx, store.Transaction{
+		Expect: []store.Expectation{
+			{
+				Address:  address(tableClaims, string(id)),
+				Revision: revision,
+			},
+		},
+		Put:    puts,
+		Remove: []store.Address{address(tableClaims, string(id))},
+	})
+	return err
+}
+
+// items returns a job's items.
+func (l *ledger) items(ctx context.Context, id JobID, m manifest) ([]Item, error) {
+	var data []byte
+	if m.Chunks == 0 {
+		object, err := l.store.Object(ctx, objectName(id))
+		if err != nil {
+			return nil, err
+		}
+		data = object
+	} else {
+		page, err := store.ReadAll(ctx, l.store, keysOf(tableItems, id, string(id)+"/"))
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			data = append(data, row.Value...)
+		}
+	}
+	var items []Item
+	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&items)
+	return items, oops.In("batch").Wrap(err)
+}
+
+// results returns the results from a position on: a page of them, or all.
+func (l *ledger) results(ctx context.Context, id JobID, from int, all bool) ([]Result, error) {
+	r := keysOf(tableResults, id, resultKey(id, from, 0))
+	var page store.Page
+	var err error
+	if all {
+		page, err = store.ReadAll(ctx, l.store, r)
+	} else {
+		page, err = l.store.Read(ctx, r)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !page.More {
+		return decodeResults(page.Rows)
+	}
+	// The last result of a page that goes on may lack its last pieces.
+	rows := page.Rows
+	for len(rows) > 0 && piece(rows[len(rows)-1]) != firstPiece {
+		rows = rows[:len(rows)-1]
+	}
+	if len(rows) > 1 {
+		rows = rows[:len(rows)-1]
+	}
+	return decodeResults(rows)
+}
+
+// firstPiece ends the key of a result's first row.
+const firstPiece = "000"
+
+func piece(row store.Row) string {
+	key := string(row.Address.Key)
+	return key[strings.LastIndexByte(key, '/')+1:]
+}
+
+// resultHead begins the first row of a result; the output follows after a line feed, byte for byte.
+type resultHead struct {
+	Item  ItemID
+	State State
+}
+
+// encodeResult returns the rows of a result; a long output takes several.
+func encodeResult(id JobID, position int, r Result) ([]store.Put, error) {
+	head, err := json.Marshal(resultHead{
+		Item:  r.Item,
+		State: r.State,
+	})
+	if err != nil {
+		return nil, oops.In("batch").Wrap(err)
+	}
+	data := append(append(head, '\n'), r.Output...)
+	var puts []store.Put
+	for n := 0; len(data) > 0; n++ {
+		size := min(chunkBytes, len(data))
+		puts = append(puts, store.Put{
+			Address: address(tableResults, resultKey(id, position, n)),
+			Value:   data[:size],
+		})
+		data = data[size:]
+	}
+	return puts, nil
+}
+
+func decodeResults(rows []store.Row) ([]Result, error) {
+	var results []Result
+	for _, row := range rows {
+		if piece(row) != firstPiece {
+			if len(results) > 0 {
+				results[len(results)-1].Output += string(row.Value)
+			}
+			continue
+		}
+		line, output, _ := bytes.Cut(row.Value, []byte("\n"))
+		var head resultHead
+		if err := json.Unmarshal(line, &head); err != nil {
+			return nil, oops.In("batch").Wrap(err)
+		}
+		results = append(results, Result{
+			Item:   head.Item,
+			State:  head.State,
+			Output: string(output),
+		})
+	}
+	return results, nil
+}
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // State is what a gateway knows of an attempt of its own.
@@ -28,20 +28,20 @@
 // attempts are the attempts of one gateway.
 type attempts struct {
 	mu     sync.Mutex
-	keys   map[platform.Key]document.Hash
+	keys   map[tablestore.Key]document.Hash
 	states map[request.ID]State
 	notRun []request.ID
 }
 
 func newAttempts() *attempts {
 	return &attempts{
-		keys:   map[platform.Key]document.Hash{},
+		keys:   map[tablestore.Key]document.Hash{},
 		states: map[request.ID]State{},
 	}
 }
 
 // enter begins an attempt, unless one with the same key is running here.
-func (a *attempts) enter(key platform.Key, hash document.Hash, attempt request.ID) error {
+func (a *attempts) enter(key tablestore.Key, hash document.Hash, attempt request.ID) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if running, ok := a.keys[key]; ok {
@@ -56,7 +56,7 @@
 }
 
 // leave ends an attempt; notRun says that it was not run, which is remembered for those who find its record.
-func (a *attempts) leave(key platform.Key, attempt request.ID, notRun bool) {
+func (a *attempts) leave(key tablestore.Key, attempt request.ID, notRun bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.keys, key)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -13,20 +13,20 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Table is what calls need of the table service.
 type Table interface {
-	Get(ctx context.Context, key platform.Key) (platform.Row, error)
-	Commit(ctx context.Context, txn platform.Txn) error
+	Get(ctx context.Context, key tablestore.Key) (tablestore.Row, error)
+	Commit(ctx context.Context, txn tablestore.Txn) error
 }
 
 // Objects keeps large answers.
 type Objects interface {
-	Put(ctx context.Context, name platform.ObjectName, data []byte) error
-	Get(ctx context.Context, name platform.ObjectName) ([]byte, error)
+	Put(ctx context.Context, name tablestore.ObjectName, data []byte) error
+	Get(ctx context.Context, name tablestore.ObjectName) ([]byte, error)
 }
 
 // Caller calls a method of a peer.
@@ -60,7 +60,7 @@
 // Claim is the right to run a call once. It ends with exactly one of Finish, Release and Abandon.
 type Claim struct {
 	calls  *Calls
-	key    platform.Key
+	key    tablestore.Key
 	stored stored
 }
 
@@ -89,8 +89,8 @@
 	return claim, answer, err
 }
 
-func (c *Calls) begin(ctx context.Context, key platform.Key, own record) (*Claim, *Answer, error) {
-	version := platform.Version(0)
+func (c *Calls) begin(ctx context.Context, key tablestore.Key, own record) (*Claim, *Answer, error) {
+	version := tablestore.Version(0)
 	for range mostRounds {
 		written, err := c.put(ctx, key, own, version)
 		if err == nil {
@@ -122,7 +122,7 @@
 
 // put writes the record over the version. A write of unknown outcome is sent again: the same attempt can only be
 // written once, and a conflict is settled by reading back whose attempt the record names.
-func (c *Calls) put(ctx context.Context, key platform.Key, own record, version platform.Version) (stored, error) {
+func (c *Calls) put(ctx context.Context, key tablestore.Key, own record, version tablestore.Version) (stored, error) {
 	write, err := own.write(key, version)
 	if err != nil {
 		return stored{}, err
@@ -130,9 +130,9 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
-		err := c.table.Commit(ctx, platform.Txn{
-			Class:  platform.ClassCommit,
-			Writes: []platform.Write{write},
+		err := c.table.Commit(ctx, tablestore.Txn{
+			Class:  tablestore.ClassCommit,
+			Writes: []tablestore.Write{write},
 		})
 		switch {
 		case err == nil:
@@ -140,7 +140,7 @@
 				record:  own,
 				version: version + 1,
 			}, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, tablestore.ErrConflict):
 			return c.readBack(ctx, key, own)
 		case settled(err):
 			return stored{}, storeError(err)
@@ -163,9 +163,9 @@
 }
 
 // readBack tells whether the record in the table is the own one after all.
-func (c *Calls) readBack(ctx context.Context, key platform.Key, own record) (stored, error) {
+func (c *Calls) readBack(ctx context.Context, key tablestore.Key, own record) (stored, error) {
 	row, err := c.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return stored{}, errTaken
 	}
 	if err != nil {
@@ -184,7 +184,7 @@
 
 // earlier looks at the record that is in the way. It returns its answer, or the version that may be written over
 // because the attempt did not run, or why neither can be had.
-func (c *Calls) earlier(ctx context.Context, key platform.Key, hash document.Hash) (*Answer, platform.Version, error) {
+func (c *Calls) earlier(ctx context.Context, key tablestore.Key, hash document.Hash) (*Answer, tablestore.Version, error) {
 	found, err := c.read(ctx, key)
 	if err != nil || found.version == 0 {
 		return nil, 0, err
@@ -210,7 +210,7 @@
 }
 
 // lost looks once more at a record whose attempt nobody runs: it may have ended since it was read.
-func (c *Calls) lost(ctx context.Context, key platform.Key, before stored) (*Answer, platform.Version, error) {
+func (c *Calls) lost(ctx context.Context, key tablestore.Key, before stored) (*Answer, tablestore.Version, error) {
 	found, err := c.read(ctx, key)
 	if err != nil {
 		return nil, 0, err
@@ -226,9 +226,9 @@
 }
 
 // read returns the record, or one of version zero if there is none.
-func (c *Calls) read(ctx context.Context, key platform.Key) (stored, error) {
+func (c *Calls) read(ctx context.Context, key tablestore.Key) (stored, error) {
 	row, err := c.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
--- a/internal/call/claim.go
+++ b/internal/call/claim.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 const (
@@ -57,7 +57,7 @@
 func persist(ctx context.Context, write func() error) error {
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		err := write()
-		if err == nil || errors.Is(err, errTaken) || errors.Is(err, platform.ErrInvalid) {
+		if err == nil || errors.Is(err, errTaken) || errors.Is(err, tablestore.ErrInvalid) {
 			return err
 		}
 		if !wait(ctx, pause) {
--- a/internal/call/errors.go
+++ b/internal/call/errors.go
@@ -5,7 +5,7 @@
 
 	"github.com/samber/oops"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 var (
@@ -27,5 +27,5 @@
 
 // settled reports whether an error tells that nothing was applied.
 func settled(err error) bool {
-	return !errors.Is(err, platform.ErrUnknown)
+	return !errors.Is(err, tablestore.ErrUnknown)
 }
--- a/internal/call/fake_test.go
+++ b/internal/call/fake_test.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"rhubarbrudder/internal/call"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // fate is what becomes of one write.
@@ -25,35 +25,35 @@
 // table is a naive table service whose writes meet the fates in order; it keeps objects too.
 type table struct {
 	mu      sync.Mutex
-	rows    map[platform.Key]platform.Row
-	objects map[platform.ObjectName][]byte
+	rows    map[tablestore.Key]tablestore.Row
+	objects map[tablestore.ObjectName][]byte
 	fates   []fate
-	delayed []platform.Write
+	delayed []tablestore.Write
 	commits int
 }
 
 func newTable() *table {
 	return &table{
-		rows:    map[platform.Key]platform.Row{},
-		objects: map[platform.ObjectName][]byte{},
+		rows:    map[tablestore.Key]tablestore.Row{},
+		objects: map[tablestore.ObjectName][]byte{},
 	}
 }
 
-func (f *table) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+func (f *table) Get(_ context.Context, key tablestore.Key) (tablestore.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	row, ok := f.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return tablestore.Row{}, tablestore.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *table) apply(write platform.Write) error {
-	if write.Condition == platform.ConditionVersion && f.rows[write.Key].Version != write.Version {
-		return platform.ErrConflict
+func (f *table) apply(write tablestore.Write) error {
+	if write.Condition == tablestore.ConditionVersion && f.rows[write.Key].Version != write.Version {
+		return tablestore.ErrConflict
 	}
-	f.rows[write.Key] = platform.Row{
+	f.rows[write.Key] = tablestore.Row{
 		Key:     write.Key,
 		Version: write.Version + 1,
 		Data:    write.Data,
@@ -61,7 +61,7 @@
 	return nil
 }
 
-func (f *table) Commit(_ context.Context, txn platform.Txn) error {
+func (f *table) Commit(_ context.Context, txn tablestore.Txn) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commits++
@@ -73,14 +73,14 @@
 	switch next {
 	case fateAnswerLost:
 		_ = f.apply(write)
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	case fateWriteLost:
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	case fateDelayed:
 		f.delayed = append(f.delayed, write)
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	case fateUnavailable:
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	default:
 		return f.apply(write)
 	}
@@ -114,14 +114,14 @@
 	table *table
 }
 
-func (o objectStore) Put(_ context.Context, name platform.ObjectName, data []byte) error {
+func (o objectStore) Put(_ context.Context, name tablestore.ObjectName, data []byte) error {
 	o.table.mu.Lock()
 	defer o.table.mu.Unlock()
 	o.table.objects[name] = data
 	return nil
 }
 
-func (o objectStore) Get(_ context.Context, name platform.ObjectName) ([]byte, error) {
+func (o objectStore) Get(_ context.Context, name tablestore.ObjectName) ([]byte, error) {
 	o.table.mu.Lock()
 	defer o.table.mu.Unlock()
 	return o.table.objects[name], nil
--- a/internal/call/record.go
+++ b/internal/call/record.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Name names a call: the key is the caller's.
@@ -23,9 +23,9 @@
 	shardDigits = 2
 )
 
-func (n Name) row() platform.Key {
+func (n Name) row() tablestore.Key {
 	hash := string(document.HashOf(string(n.Organisation) + "\x00" + string(n.Service) + "\x00" + n.Key))
-	return platform.Key{
+	return tablestore.Key{
 		Partition: partitionCall + hash[:shardDigits],
 		Sort:      hash,
 	}
@@ -56,13 +56,13 @@
 	Released bool    `json:",omitempty"`
 	Answer   *Answer `json:",omitempty"`
 	// Object holds the answer's body if it is too large for the row.
-	Object platform.ObjectName `json:",omitempty"`
+	Object tablestore.ObjectName `json:",omitempty"`
 }
 
 // stored is a record with the version of its row.
 type stored struct {
 	record  record
-	version platform.Version
+	version tablestore.Version
 }
 
 const (
@@ -72,12 +72,12 @@
 	largestInRow = 200 << 10
 )
 
-func (r record) write(key platform.Key, version platform.Version) (platform.Write, error) {
+func (r record) write(key tablestore.Key, version tablestore.Version) (tablestore.Write, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
-		return platform.Write{}, storeError(err)
+		return tablestore.Write{}, storeError(err)
 	}
-	return platform.Write{
+	return tablestore.Write{
 		Key:     key,
 		Version: version,
 		Data:    data,
@@ -85,7 +85,7 @@
 	}, nil
 }
 
-func decode(row platform.Row) (stored, error) {
+func decode(row tablestore.Row) (stored, error) {
 	found := stored{
 		version: row.Version,
 	}
@@ -96,6 +96,6 @@
 }
 
 // objectName is unique to the attempt; the date lets a life-cycle rule drop old answers.
-func objectName(started time.Time, attempt request.ID) platform.ObjectName {
-	return platform.ObjectName("calls/" + started.UTC().Format(time.DateOnly) + "/" + string(attempt))
+func objectName(started time.Time, attempt request.ID) tablestore.ObjectName {
+	return tablestore.ObjectName("calls/" + started.UTC().Format(time.DateOnly) + "/" + string(attempt))
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -16,10 +16,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/process"
 	"rhubarbrudder/internal/settings"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/tablestore"
 	"rhubarbrudder/internal/telemetry"
 )
 
@@ -101,14 +101,14 @@
 	if err != nil {
 		return err
 	}
-	vms := []platform.VM{
+	vms := []tablestore.VM{
 		{
 			Name:          "vm-1",
 			Incarnation:   "1",
 			Address:       s.address,
 			Region:        "bayern-sued",
 			FailureDomain: "garmisch",
-			State:         platform.VMLive,
+			State:         tablestore.VMLive,
 		},
 	}
 	for i, handler := range []http.Handler{
@@ -133,16 +133,16 @@
 	return s.writeDocument(ctx)
 }
 
-func endpointVM(name, service string, at *net.TCPAddr) platform.VM {
-	return platform.VM{
-		Name:          platform.VMName(name),
+func endpointVM(name, service string, at *net.TCPAddr) tablestore.VM {
+	return tablestore.VM{
+		Name:          tablestore.VMName(name),
 		Incarnation:   "1",
 		Address:       at.IP.String(),
 		Port:          at.Port,
 		Region:        "bayern-sued",
 		FailureDomain: "garmisch",
 		Service:       service,
-		State:         platform.VMLive,
+		State:         tablestore.VMLive,
 		ChecksFence:   true,
 	}
 }
@@ -192,8 +192,8 @@
 func (s *system) writeDocument(ctx context.Context) error {
 	client := http.DefaultClient
 	store := document.NewStore(
-		platform.NewTable(client, s.settings.Platform.TableURL, s.settings.Platform.Table, nil),
-		platform.NewObjects(client, s.settings.Platform.ObjectsURL, s.settings.Platform.Bucket, nil),
+		tablestore.NewTable(client, s.settings.Platform.TableURL, s.settings.Platform.Table, nil),
+		tablestore.NewObjects(client, s.settings.Platform.ObjectsURL, s.settings.Platform.Bucket, nil),
 	)
 	doc := document.New()
 	for _, change := range changes() {
--- a/internal/document/accept.go
+++ b/internal/document/accept.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 const (
@@ -44,7 +44,7 @@
 		var accepted Change
 		var err error
 		view, accepted, err = s.attempt(ctx, view, change)
-		if err == nil || !errors.Is(err, platform.ErrConflict) {
+		if err == nil || !errors.Is(err, tablestore.ErrConflict) {
 			return view, accepted, err
 		}
 	}
@@ -67,7 +67,7 @@
 	}
 }
 
-// attempt commits the change after the newest revision; platform.ErrConflict means that another change came first.
+// attempt commits the change after the newest revision; tablestore.ErrConflict means that another change came first.
 func (s *Store) attempt(ctx context.Context, view *View, change Change) (*View, Change, error) {
 	head, version, err := s.Head(ctx)
 	if err != nil {
@@ -79,14 +79,14 @@
 	}
 	if view.Revision > head.Revision {
 		// The read was stale.
-		return view, change, platform.ErrConflict
+		return view, change, tablestore.ErrConflict
 	}
 	next, err := prepare(view, &change)
 	if err != nil {
 		return s.refused(ctx, view, change, err)
 	}
 	err = s.commitSurely(ctx, next, version, change)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, tablestore.ErrConflict) {
 		return s.refused(ctx, view, change, err)
 	}
 	if err != nil {
@@ -154,7 +154,7 @@
 
 // commitSurely commits and, when the answer is lost, sends the same transaction again: the head's version lets it
 // apply once at most, and a conflict says that it never will any more, so that the id can be read.
-func (s *Store) commitSurely(ctx context.Context, next *View, version platform.Version, change Change) error {
+func (s *Store) commitSurely(ctx context.Context, next *View, version tablestore.Version, change Change) error {
 	txn, err := s.transaction(ctx, next, version, change)
 	if err != nil {
 		return err
@@ -162,13 +162,13 @@
 	unknown := false
 	for attempt := range acceptAttempts {
 		if wait := pause(ctx, attempt); wait != nil {
-			return errors.Join(platform.ErrUnknown, wait)
+			return errors.Join(tablestore.ErrUnknown, wait)
 		}
 		err = s.table.Commit(ctx, txn)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, tablestore.ErrConflict) {
 			return err
 		}
-		if errors.Is(err, platform.ErrUnknown) {
+		if errors.Is(err, tablestore.ErrUnknown) {
 			unknown = true
 			continue
 		}
@@ -176,7 +176,7 @@
 			return err
 		}
 	}
-	return errors.Join(platform.ErrUnknown, err)
+	return errors.Join(tablestore.ErrUnknown, err)
 }
 
 // idRow is the row that tells a change's id from an unused one.
@@ -185,11 +185,11 @@
 }
 
 func (s *Store) byID(ctx context.Context, id string) (Change, bool, error) {
-	row, err := s.table.Get(ctx, platform.Key{
+	row, err := s.table.Get(ctx, tablestore.Key{
 		Partition: partitionChangeID,
 		Sort:      id,
 	})
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return Change{}, false, nil
 	}
 	if err != nil {
@@ -199,7 +199,7 @@
 	if err := json.Unmarshal(row.Data, &known); err != nil {
 		return Change{}, false, oops.In("document").Wrap(err)
 	}
-	row, err = s.table.Get(ctx, platform.Key{
+	row, err = s.table.Get(ctx, tablestore.Key{
 		Partition: partitionChange,
 		Sort:      revisionSort(known.Revision),
 	})
@@ -211,29 +211,29 @@
 }
 
 // transaction writes the head, the change and its id together.
-func (s *Store) transaction(ctx context.Context, next *View, version platform.Version, change Change) (platform.Txn, error) {
+func (s *Store) transaction(ctx context.Context, next *View, version tablestore.Version, change Change) (tablestore.Txn, error) {
 	body, err := s.changeBody(ctx, change)
 	if err != nil {
-		return platform.Txn{}, err
+		return tablestore.Txn{}, err
 	}
 	head, err := json.Marshal(Head{
 		Revision: next.Revision,
 		Versions: next.doc.Versions,
 	})
 	if err != nil {
-		return platform.Txn{}, oops.In("document").Wrap(err)
+		return tablestore.Txn{}, oops.In("document").Wrap(err)
 	}
 	id, err := json.Marshal(idRow{
 		Revision: change.Revision,
 	})
 	if err != nil {
-		return platform.Txn{}, oops.In("document").Wrap(err)
+		return tablestore.Txn{}, oops.In("document").Wrap(err)
 	}
-	return platform.Txn{
-		Class: platform.ClassCommit,
-		Writes: []platform.Write{
+	return tablestore.Txn{
+		Class: tablestore.ClassCommit,
+		Writes: []tablestore.Write{
 			{
-				Key: platform.Key{
+				Key: tablestore.Key{
 					Partition: partitionDocument,
 					Sort:      sortHead,
 				},
@@ -241,14 +241,14 @@
 				Data:    head,
 			},
 			{
-				Key: platform.Key{
+				Key: tablestore.Key{
 					Partition: partitionChange,
 					Sort:      revisionSort(change.Revision),
 				},
 				Data: body,
 			},
 			{
-				Key: platform.Key{
+				Key: tablestore.Key{
 					Partition: partitionChangeID,
 					Sort:      change.ID,
 				},
@@ -267,16 +267,16 @@
 	if err != nil {
 		return nil, oops.In("document").Wrap(err)
 	}
-	if len(body) <= platform.MaxRowBytes {
+	if len(body) <= tablestore.MaxRowBytes {
 		return body, nil
 	}
 	data, err := json.Marshal(change)
 	if err != nil {
 		return nil, oops.In("document").Wrap(err)
 	}
-	name := platform.ObjectName("document/change/" + uuid.NewString())
+	name := tablestore.ObjectName("document/change/" + uuid.NewString())
 	if err := s.objects.Put(ctx, name, data); err != nil {
-		return nil, errors.Join(platform.ErrUnavailable, err)
+		return nil, errors.Join(tablestore.ErrUnavailable, err)
 	}
 	return json.Marshal(changeRow{
 		Object: name,
--- a/internal/document/follower.go
+++ b/internal/document/follower.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Source is what a follower reads the document from.
 type Source interface {
-	Head(ctx context.Context) (Head, platform.Version, error)
+	Head(ctx context.Context) (Head, tablestore.Version, error)
 	CatchUp(ctx context.Context, view *View, to Revision) (*View, error)
 	Changes(ctx context.Context, after Revision, limit int) ([]Change, error)
 }
--- a/internal/document/follower_test.go
+++ b/internal/document/follower_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // history is a source in memory that can be out of reach.
@@ -40,7 +40,7 @@
 	cut     bool
 }
 
-func (r *reach) Head(context.Context) (document.Head, platform.Version, error) {
+func (r *reach) Head(context.Context) (document.Head, tablestore.Version, error) {
 	r.history.mu.Lock()
 	defer r.history.mu.Unlock()
 	if r.cut || r.history.out {
--- a/internal/document/snapshot.go
+++ b/internal/document/snapshot.go
@@ -10,13 +10,13 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // snapshotRow says where the latest whole document is.
 type snapshotRow struct {
 	Revision Revision
-	Object   platform.ObjectName
+	Object   tablestore.ObjectName
 }
 
 const (
@@ -95,7 +95,7 @@
 		}
 		var data []byte
 		data, err = s.objects.Get(ctx, at.Object)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, tablestore.ErrNotFound) {
 			continue
 		}
 		if err != nil {
@@ -110,12 +110,12 @@
 	return Document{}, errors.Join(ErrUnavailable, err)
 }
 
-func (s *Store) snapshotAt(ctx context.Context) (snapshotRow, platform.Version, error) {
-	row, err := s.table.Get(ctx, platform.Key{
+func (s *Store) snapshotAt(ctx context.Context) (snapshotRow, tablestore.Version, error) {
+	row, err := s.table.Get(ctx, tablestore.Key{
 		Partition: partitionDocument,
 		Sort:      sortSnapshot,
 	})
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return snapshotRow{}, 0, nil
 	}
 	if err != nil {
@@ -143,7 +143,7 @@
 	if err != nil {
 		return oops.In("document").Wrap(err)
 	}
-	name := platform.ObjectName(fmt.Sprintf("document/snapshot/%020d-%s", doc.Revision, uuid.NewString()))
+	name := tablestore.ObjectName(fmt.Sprintf("document/snapshot/%020d-%s", doc.Revision, uuid.NewString()))
 	if err := s.objects.Put(ctx, name, data); err != nil {
 		return storeError(err)
 	}
@@ -154,11 +154,11 @@
 	if err != nil {
 		return oops.In("document").Wrap(err)
 	}
-	err = s.table.Commit(ctx, platform.Txn{
-		Class: platform.ClassReport,
-		Writes: []platform.Write{
+	err = s.table.Commit(ctx, tablestore.Txn{
+		Class: tablestore.ClassReport,
+		Writes: []tablestore.Write{
 			{
-				Key: platform.Key{
+				Key: tablestore.Key{
 					Partition: partitionDocument,
 					Sort:      sortSnapshot,
 				},
@@ -183,7 +183,7 @@
 	if err != nil {
 		return storeError(err)
 	}
-	var writes []platform.Write
+	var writes []tablestore.Write
 	for _, row := range rows {
 		change, err := s.change(ctx, row)
 		if err != nil {
@@ -192,17 +192,17 @@
 		if change.Revision >= upTo || !change.Accepted.Before(before) {
 			break
 		}
-		writes = append(writes, platform.Write{
+		writes = append(writes, tablestore.Write{
 			Key:     row.Key,
-			Action:  platform.ActionDelete,
+			Action:  tablestore.ActionDelete,
 			Version: row.Version,
 		})
 	}
 	for len(writes) > 0 {
-		some := writes[:min(len(writes), platform.MaxWrites)]
+		some := writes[:min(len(writes), tablestore.MaxWrites)]
 		writes = writes[len(some):]
-		err := s.table.Commit(ctx, platform.Txn{
-			Class:  platform.ClassReport,
+		err := s.table.Commit(ctx, tablestore.Txn{
+			Class:  tablestore.ClassReport,
 			Writes: some,
 		})
 		if err != nil {
--- a/internal/document/store.go
+++ b/internal/document/store.go
@@ -8,21 +8,21 @@
 
 	"github.com/samber/oops"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Table is what the store needs of the table service.
 type Table interface {
-	Get(ctx context.Context, key platform.Key) (platform.Row, error)
-	Page(ctx context.Context, partition, after string, limit int) ([]platform.Row, error)
-	Commit(ctx context.Context, txn platform.Txn) error
+	Get(ctx context.Context, key tablestore.Key) (tablestore.Row, error)
+	Page(ctx context.Context, partition, after string, limit int) ([]tablestore.Row, error)
+	Commit(ctx context.Context, txn tablestore.Txn) error
 }
 
 // Objects is what the store needs of the object store.
 type Objects interface {
-	Get(ctx context.Context, name platform.ObjectName) ([]byte, error)
-	Put(ctx context.Context, name platform.ObjectName, data []byte) error
-	Delete(ctx context.Context, name platform.ObjectName) error
+	Get(ctx context.Context, name tablestore.ObjectName) ([]byte, error)
+	Put(ctx context.Context, name tablestore.ObjectName, data []byte) error
+	Delete(ctx context.Context, name tablestore.ObjectName) error
 }
 
 // Store keeps the document in the platform.
@@ -57,12 +57,12 @@
 const changesPerPage = 200
 
 // Head returns the newest revision and its row version, zero if there is none.
-func (s *Store) Head(ctx context.Context) (Head, platform.Version, error) {
-	row, err := s.table.Get(ctx, platform.Key{
+func (s *Store) Head(ctx context.Context) (Head, tablestore.Version, error) {
+	row, err := s.table.Get(ctx, tablestore.Key{
 		Partition: partitionDocument,
 		Sort:      sortHead,
 	})
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return Head{
 			Versions: map[SectionName]SectionVersion{},
 		}, 0, nil
@@ -96,11 +96,11 @@
 
 // changeRow is a change as stored; a large one is in an object of its own.
 type changeRow struct {
-	Change *Change             `json:",omitempty"`
-	Object platform.ObjectName `json:",omitempty"`
+	Change *Change               `json:",omitempty"`
+	Object tablestore.ObjectName `json:",omitempty"`
 }
 
-func (s *Store) change(ctx context.Context, row platform.Row) (Change, error) {
+func (s *Store) change(ctx context.Context, row tablestore.Row) (Change, error) {
 	var stored changeRow
 	if err := json.Unmarshal(row.Data, &stored); err != nil {
 		return Change{}, oops.In("document").Wrap(err)
@@ -125,9 +125,9 @@
 
 func storeError(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, tablestore.ErrUnknown):
 		return errors.Join(ErrUnknown, err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, tablestore.ErrUnavailable):
 		return errors.Join(ErrUnavailable, err)
 	}
 	return err
--- a/internal/document/store_test.go
+++ b/internal/document/store_test.go
@@ -15,8 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/tablestore"
 )
 
 func newStore(t *testing.T) (*document.Store, *standin.Platform) {
@@ -29,8 +29,8 @@
 
 func storeAt(url string) *document.Store {
 	return document.NewStore(
-		platform.NewTable(http.DefaultClient, url, "rhubarbrudder", nil),
-		platform.NewObjects(http.DefaultClient, url, "objects", nil),
+		tablestore.NewTable(http.DefaultClient, url, "rhubarbrudder", nil),
+		tablestore.NewObjects(http.DefaultClient, url, "objects", nil),
 	)
 }
 
@@ -105,7 +105,7 @@
 			revision: 2,
 		},
 		"body larger than a row": {
-			change:   modelChange("two", 1, strings.Repeat("2", platform.MaxRowBytes)),
+			change:   modelChange("two", 1, strings.Repeat("2", tablestore.MaxRowBytes)),
 			revision: 2,
 		},
 	}
--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // leavingKept is how long an incarnation stays known as leaving after it was last listed or first heard of.
@@ -24,7 +24,7 @@
 	leaving map[ID]time.Time
 	// drained says until when endpoints take no new work because an order is being carried out.
 	drained map[ID]drain
-	listed  []platform.VM
+	listed  []tablestore.VM
 	onLeave []func([]ID)
 }
 
@@ -47,13 +47,13 @@
 }
 
 // Update takes in a new reading of the VM list, which may be older than the last.
-func (d *Directory) Update(vms []platform.VM) {
+func (d *Directory) Update(vms []tablestore.VM) {
 	now := time.Now()
 	d.mu.Lock()
 	d.listed = vms
 	var news []ID
 	for _, vm := range vms {
-		if vm.State != platform.VMLeaving || vm.Service == "" {
+		if vm.State != tablestore.VMLeaving || vm.Service == "" {
 			continue
 		}
 		id := IDOf(vm)
--- a/internal/endpoint/directory_test.go
+++ b/internal/endpoint/directory_test.go
@@ -5,11 +5,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
-func listed(state platform.VMState) []platform.VM {
-	return []platform.VM{
+func listed(state tablestore.VMState) []tablestore.VM {
+	return []tablestore.VM{
 		{
 			Name:        "engine-0",
 			Incarnation: "1",
@@ -22,46 +22,46 @@
 }
 
 func TestLeavingIsSticky(t *testing.T) {
-	replaced := listed(platform.VMLive)
+	replaced := listed(tablestore.VMLive)
 	replaced[0].Incarnation = "2"
 	cases := map[string]struct {
 		steps func(d *Directory)
 		want  int
 	}{
 		"never left": {
-			steps: func(d *Directory) { d.Update(listed(platform.VMLive)) },
+			steps: func(d *Directory) { d.Update(listed(tablestore.VMLive)) },
 			want:  1,
 		},
 		"older list after the newer": {
 			steps: func(d *Directory) {
-				d.Update(listed(platform.VMLeaving))
-				d.Update(listed(platform.VMLive))
+				d.Update(listed(tablestore.VMLeaving))
+				d.Update(listed(tablestore.VMLive))
 			},
 		},
 		"older list after the end of the VM": {
 			steps: func(d *Directory) {
-				d.Update(listed(platform.VMLeaving))
+				d.Update(listed(tablestore.VMLeaving))
 				d.Update(nil)
-				d.Update(listed(platform.VMLive))
+				d.Update(listed(tablestore.VMLive))
 			},
 		},
 		"heard before it was listed": {
 			steps: func(d *Directory) {
 				d.Leave("engine-0/1")
 				d.Update(nil)
-				d.Update(listed(platform.VMLive))
+				d.Update(listed(tablestore.VMLive))
 			},
 		},
 		"replacement": {
 			steps: func(d *Directory) {
-				d.Update(listed(platform.VMLeaving))
+				d.Update(listed(tablestore.VMLeaving))
 				d.Update(replaced)
 			},
 			want: 1,
 		},
 		"too old to matter": {
 			steps: func(d *Directory) {
-				d.Update(listed(platform.VMLive))
+				d.Update(listed(tablestore.VMLive))
 				d.Hear([]Departure{{ID: "engine-0/1", AgeMilliseconds: leavingKept.Milliseconds() + 1}})
 			},
 			want: 1,
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -6,7 +6,7 @@
 	"strconv"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // ID names an endpoint's incarnation: a replacement under the same address has another id.
@@ -15,11 +15,11 @@
 // Endpoint is one model engine or plain service instance.
 type Endpoint struct {
 	ID            ID
-	VM            platform.VMName
+	VM            tablestore.VMName
 	Service       document.ServiceName
 	Address       string
-	Region        platform.Region
-	FailureDomain platform.FailureDomain
+	Region        tablestore.Region
+	FailureDomain tablestore.FailureDomain
 	ChecksFence   bool
 }
 
@@ -31,7 +31,7 @@
 )
 
 // Of returns the endpoint that a VM of the list is, and whether it is one.
-func Of(vm platform.VM) (Endpoint, bool) {
+func Of(vm tablestore.VM) (Endpoint, bool) {
 	if vm.Service == "" {
 		return Endpoint{}, false
 	}
@@ -47,6 +47,6 @@
 }
 
 // IDOf returns the id of a VM's incarnation.
-func IDOf(vm platform.VM) ID {
+func IDOf(vm tablestore.VM) ID {
 	return ID(string(vm.Name) + "/" + vm.Incarnation)
 }
--- a/internal/endpoint/picker_test.go
+++ b/internal/endpoint/picker_test.go
@@ -11,8 +11,8 @@
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/fleet"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // TestMain fixes the seed of the properties.
@@ -39,7 +39,7 @@
 	for i := range n {
 		gateways.alive = append(gateways.alive, fleet.Member{
 			Role:          fleet.RoleGateway,
-			VM:            platform.VMName(fmt.Sprintf("vm-%d", i)),
+			VM:            tablestore.VMName(fmt.Sprintf("vm-%d", i)),
 			Region:        "bayern-sued",
 			FailureDomain: domainOf(i),
 		})
@@ -48,21 +48,21 @@
 	return gateways
 }
 
-func domainOf(i int) platform.FailureDomain {
-	return platform.FailureDomain(fmt.Sprintf("domain-%d", i%3))
+func domainOf(i int) tablestore.FailureDomain {
+	return tablestore.FailureDomain(fmt.Sprintf("domain-%d", i%3))
 }
 
 func enginesOf(n int) *Directory {
 	directory := NewDirectory()
-	var vms []platform.VM
+	var vms []tablestore.VM
 	for i := range n {
-		vms = append(vms, platform.VM{
-			Name:          platform.VMName(fmt.Sprintf("engine-%d", i)),
+		vms = append(vms, tablestore.VM{
+			Name:          tablestore.VMName(fmt.Sprintf("engine-%d", i)),
 			Incarnation:   "1",
 			Service:       string(testService),
 			Region:        "bayern-sued",
 			FailureDomain: domainOf(i),
-			State:         platform.VMLive,
+			State:         tablestore.VMLive,
 		})
 	}
 	directory.Update(vms)
@@ -75,7 +75,7 @@
 	costs   map[ID]float64
 }
 
-func newNaive(endpoints []Endpoint, tracker *Tracker, tried map[ID]bool, domain platform.FailureDomain) naive {
+func newNaive(endpoints []Endpoint, tracker *Tracker, tried map[ID]bool, domain tablestore.FailureDomain) naive {
 	n := naive{
 		allowed: map[ID]bool{},
 		costs:   map[ID]float64{},
--- a/internal/endpoint/subset.go
+++ b/internal/endpoint/subset.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rhubarbrudder/internal/fleet"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // subsetSize is how many endpoints of a service a gateway sends to where there are more.
@@ -44,7 +44,7 @@
 	return chosen
 }
 
-func inRegion(endpoints []Endpoint, region platform.Region) []Endpoint {
+func inRegion(endpoints []Endpoint, region tablestore.Region) []Endpoint {
 	var local []Endpoint
 	for _, candidate := range endpoints {
 		if candidate.Region == region {
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Beat is a heartbeat and the answer to one.
@@ -254,10 +254,10 @@
 }
 
 // leavingVMs marks the members on VMs that the list says are leaving.
-func (f *Fleet) leavingVMs(vms []platform.VM) {
-	leaving := map[platform.VMName]bool{}
+func (f *Fleet) leavingVMs(vms []tablestore.VM) {
+	leaving := map[tablestore.VMName]bool{}
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving && vm.Service == "" {
+		if vm.State == tablestore.VMLeaving && vm.Service == "" {
 			leaving[vm.Name] = true
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,12 +15,12 @@
 	"sync/atomic"
 	"time"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Lister reads the platform's VM list.
 type Lister interface {
-	VMs(ctx context.Context) ([]platform.VM, error)
+	VMs(ctx context.Context) ([]tablestore.VM, error)
 }
 
 // Caller calls a method of a peer.
@@ -38,7 +38,7 @@
 	lister Lister
 	caller Caller
 	log    *slog.Logger
-	onList []func([]platform.VM)
+	onList []func([]tablestore.VM)
 	// kick makes the next heartbeat go out at once.
 	kick   chan struct{}
 	roster atomic.Pointer[roster]
@@ -49,7 +49,7 @@
 	sequence Sequence
 	leaving  bool
 	silence  time.Duration
-	listed   []platform.VM
+	listed   []tablestore.VM
 	unknown  []string
 	records  map[ID]*record
 	rumours  []*rumour
@@ -85,7 +85,7 @@
 }
 
 // OnList adds a function that is called with each reading of the VM list; it must come before Run.
-func (f *Fleet) OnList(do func([]platform.VM)) {
+func (f *Fleet) OnList(do func([]tablestore.VM)) {
 	f.onList = append(f.onList, do)
 }
 
@@ -240,7 +240,7 @@
 // Majority reports whether more than half of the listed VMs, this one among them, are alive, and whether another VM
 // answered within the time.
 func (f *Fleet) Majority(within time.Duration) bool {
-	present := map[platform.VMName]bool{
+	present := map[tablestore.VMName]bool{
 		f.self.VM: true,
 	}
 	for _, entry := range f.roster.Load().ring {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,7 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/fleet"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 const beatPeriod = 500 * time.Millisecond
@@ -26,7 +26,7 @@
 // network carries calls between fleets in memory and can be cut in each direction.
 type network struct {
 	mu       sync.Mutex
-	vms      []platform.VM
+	vms      []tablestore.VM
 	services map[string]*fleet.Service
 	cut      func(from, to string) bool
 	calls    int
@@ -44,7 +44,7 @@
 	return len(data), nil
 }
 
-func (n *network) VMs(context.Context) ([]platform.VM, error) {
+func (n *network) VMs(context.Context) ([]tablestore.VM, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.vms, nil
@@ -103,12 +103,12 @@
 	return nil
 }
 
-func vmAt(i int) platform.VM {
-	return platform.VM{
-		Name:        platform.VMName(fmt.Sprintf("vm-%d", i)),
+func vmAt(i int) tablestore.VM {
+	return tablestore.VM{
+		Name:        tablestore.VMName(fmt.Sprintf("vm-%d", i)),
 		Incarnation: "1",
 		Address:     fmt.Sprintf("10.0.%d.%d", i/250, i%250),
-		State:       platform.VMLive,
+		State:       tablestore.VMLive,
 	}
 }
 
@@ -311,7 +311,7 @@
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, size, func(t *testing.T, w *world) {
 				inside := func(address string) bool {
-					return slices.ContainsFunc(w.vms[:minority], func(vm platform.VM) bool { return strings.HasPrefix(address, vm.Address+":") })
+					return slices.ContainsFunc(w.vms[:minority], func(vm tablestore.VM) bool { return strings.HasPrefix(address, vm.Address+":") })
 				}
 				w.setCut(func(from, to string) bool { return inside(from) != inside(to) })
 				time.Sleep(8 * time.Second)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Role says what a process does.
@@ -34,11 +34,11 @@
 // Member is a process of the system.
 type Member struct {
 	Role          Role
-	VM            platform.VMName
+	VM            tablestore.VMName
 	Incarnation   string
 	Address       string
-	Region        platform.Region
-	FailureDomain platform.FailureDomain
+	Region        tablestore.Region
+	FailureDomain tablestore.FailureDomain
 }
 
 // ID names the member's incarnation.
--- /dev/null
+++ b/internal/forward/event.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// ErrEvent means that a stream holds something that is no event.
+var ErrEvent = errors.New("forward: not an event")
+
+// EndOfStream is the end of a stream that is whole.
+var EndOfStream = io.EOF
+
+// maxEventBytes bounds an event; events of generations are some hundred bytes.
+const maxEventBytes = 1 << 20
+
+// Event is one event of a stream.
+type Event struct {
+	// Raw is the event as it came, with the empty line that ends it.
+	Raw []byte
+	// ID is the event's number; HasID says whether it has one.
+	ID    int64
+	HasID bool
+	// Data holds the event's data lines, joined by line feeds.
+	Data []byte
+}
+
+// Events reads events from a stream.
+type Events struct {
+	from *bufio.Reader
+	raw  []byte
+}
+
+// eventBuffer holds a few events; one buffer exists for each request that runs.
+const eventBuffer = 1 << 10
+
+// NewEvents returns a reader of the stream's events.
+func NewEvents(from io.Reader) *Events {
+	return &Events{
+		from: bufio.NewReaderSize(from, eventBuffer),
+	}
+}
+
+// Next returns the next whole event, which is valid until the next call. It returns io.EOF at the end of the stream and
+// io.ErrUnexpectedEOF if the stream ends inside an event.
+func (e *Events) Next() (Event, error) {
+	e.raw = e.raw[:0]
+	event := Event{}
+	for {
+		start := len(e.raw)
+		if err := e.line(); err != nil {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
+				return Event{}, io.ErrUnexpectedEOF
+			}
+			return Event{}, err
+		}
+		line := bytes.TrimRight(e.raw[start:], "\r\n")
+		if len(line) == 0 {
+			if start == 0 {
+				continue
+			}
+			event.Raw = e.raw
+			return event, nil
+		}
+		if err := event.field(line); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// line appends a line, with its end, to the event.
+func (e *Events) line() error {
+	for {
+		part, err := e.from.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		if len(e.raw) > maxEventBytes {
+			return ErrEvent
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
+func (e *Event) field(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		id, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil {
+			return ErrEvent
+		}
+		e.ID = id
+		e.HasID = true
+	case "data":
+		if e.Data != nil {
+			e.Data = append(e.Data, '\n')
+		}
+		e.Data = append(e.Data, value...)
+	}
+	return nil
+}
--- a/internal/gateway/file.go
+++ b/internal/gateway/file.go
@@ -10,8 +10,8 @@
 	"strings"
 
 	"rhubarbrudder/internal/job"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // maxFileBytes bounds an uploaded file.
@@ -143,7 +143,7 @@
 	return nil
 }
 
-func (g *Gateway) contentObjects(c *caller) ([]platform.ObjectName, error) {
+func (g *Gateway) contentObjects(c *caller) ([]tablestore.ObjectName, error) {
 	id := c.r.PathValue("file")
 	batch, kind := resultFile(id)
 	if kind == "" {
@@ -164,7 +164,7 @@
 			c.w.Header().Set(headerNextLot, string(wanted.next(lots)))
 		}
 	}
-	var objects []platform.ObjectName
+	var objects []tablestore.ObjectName
 	for _, lot := range lots {
 		name := lot.Results
 		if kind == "error" {
@@ -229,19 +229,19 @@
 	return page[len(page)-1].ID
 }
 
-func (g *Gateway) inputObjects(c *caller, id job.FileID) ([]platform.ObjectName, error) {
+func (g *Gateway) inputObjects(c *caller, id job.FileID) ([]tablestore.ObjectName, error) {
 	file, err := g.jobs.File(c.r.Context(), c.organisation, id)
 	if err != nil {
 		return nil, err
 	}
-	objects := make([]platform.ObjectName, 0, file.Lots)
+	objects := make([]tablestore.ObjectName, 0, file.Lots)
 	for number := range file.Lots {
 		objects = append(objects, job.InputObject(file.ID, number))
 	}
 	return objects, nil
 }
 
-func (g *Gateway) copyObject(c *caller, name platform.ObjectName) error {
+func (g *Gateway) copyObject(c *caller, name tablestore.ObjectName) error {
 	body, err := g.jobs.Objects().Open(c.r.Context(), name)
 	if err != nil {
 		return errors.Join(job.ErrUnavailable, err)
--- a/internal/job/complete.go
+++ b/internal/job/complete.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Complete stores a lot's results and marks it as done; ErrFenced means that the claim is lost and nothing was stored.
@@ -104,7 +104,7 @@
 	return lot, err
 }
 
-func (s *Store) putResults(ctx context.Context, id ID, lot LotRow, kind string, data []byte) (name platform.ObjectName, err error) {
+func (s *Store) putResults(ctx context.Context, id ID, lot LotRow, kind string, data []byte) (name tablestore.ObjectName, err error) {
 	if len(data) == 0 {
 		return "", nil
 	}
--- a/internal/job/errors.go
+++ b/internal/job/errors.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 var (
@@ -42,13 +42,13 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, tablestore.ErrNotFound):
 		return errors.Join(ErrNotFound, err)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, tablestore.ErrConflict):
 		return errors.Join(ErrFenced, err)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, tablestore.ErrUnknown):
 		return errors.Join(ErrUnknown, err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, tablestore.ErrUnavailable):
 		return errors.Join(ErrUnavailable, err)
 	}
 	return err
--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -7,13 +7,13 @@
 	"slices"
 	"strings"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // fakePlatform is a table and an object store in memory whose answers are lost as its fate says.
 type fakePlatform struct {
-	rows    map[platform.Key]platform.Row
-	objects map[platform.ObjectName][]byte
+	rows    map[tablestore.Key]tablestore.Row
+	objects map[tablestore.ObjectName][]byte
 	// fate says for the next calls whether they succeed, apply without an answer, get lost, are refused, or come late.
 	fate func() int
 	// late are writes that take effect after their writer gave up.
@@ -35,66 +35,66 @@
 	take()
 }
 
-func (f *fakePlatform) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+func (f *fakePlatform) Get(_ context.Context, key tablestore.Key) (tablestore.Row, error) {
 	row, ok := f.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, tablestore.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakePlatform) Page(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+func (f *fakePlatform) Page(ctx context.Context, partition, after string, limit int) ([]tablestore.Row, error) {
 	rows, err := f.All(ctx, partition)
-	rows = slices.DeleteFunc(rows, func(row platform.Row) bool { return row.Key.Sort <= after })
+	rows = slices.DeleteFunc(rows, func(row tablestore.Row) bool { return row.Key.Sort <= after })
 	return rows[:min(limit, len(rows))], err
 }
 
-func (f *fakePlatform) All(_ context.Context, partition string) ([]platform.Row, error) {
-	var rows []platform.Row
+func (f *fakePlatform) All(_ context.Context, partition string) ([]tablestore.Row, error) {
+	var rows []tablestore.Row
 	for key, row := range f.rows {
 		if key.Partition == partition {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
 	return rows, nil
 }
 
-func (f *fakePlatform) Commit(_ context.Context, txn platform.Txn) error {
+func (f *fakePlatform) Commit(_ context.Context, txn tablestore.Txn) error {
 	fate := f.fate()
 	switch fate {
 	case fateRefused:
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	case fateLost:
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	case fateLate:
 		f.late = append(f.late, func() { _ = f.apply(txn) })
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	err := f.apply(txn)
 	if fate == fateApplied {
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	return err
 }
 
-func (f *fakePlatform) apply(txn platform.Txn) error {
+func (f *fakePlatform) apply(txn tablestore.Txn) error {
 	for _, write := range txn.Writes {
 		if f.rows[write.Key].Version != write.Version {
-			return platform.ErrConflict
+			return tablestore.ErrConflict
 		}
 	}
 	for _, write := range txn.Writes {
 		switch write.Action {
-		case platform.ActionPut:
-			f.rows[write.Key] = platform.Row{
+		case tablestore.ActionPut:
+			f.rows[write.Key] = tablestore.Row{
 				Key:     write.Key,
 				Version: write.Version + 1,
 				Data:    write.Data,
 			}
-		case platform.ActionDelete:
+		case tablestore.ActionDelete:
 			delete(f.rows, write.Key)
-		case platform.ActionCheck:
+		case tablestore.ActionCheck:
 		}
 	}
 	return nil
@@ -105,38 +105,38 @@
 	*fakePlatform
 }
 
-func (f fakeObjects) Put(_ context.Context, name platform.ObjectName, data []byte) error {
+func (f fakeObjects) Put(_ context.Context, name tablestore.ObjectName, data []byte) error {
 	fate := f.fate()
 	switch fate {
 	case fateRefused:
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	case fateLost:
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	case fateLate:
 		f.late = append(f.late, func() { f.objects[name] = bytes.Clone(data) })
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	f.objects[name] = bytes.Clone(data)
 	if fate == fateApplied {
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	return nil
 }
 
-func (f fakeObjects) Get(_ context.Context, name platform.ObjectName) ([]byte, error) {
+func (f fakeObjects) Get(_ context.Context, name tablestore.ObjectName) ([]byte, error) {
 	data, ok := f.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, tablestore.ErrNotFound
 	}
 	return data, nil
 }
 
-func (f fakeObjects) Open(ctx context.Context, name platform.ObjectName) (io.ReadCloser, error) {
+func (f fakeObjects) Open(ctx context.Context, name tablestore.ObjectName) (io.ReadCloser, error) {
 	data, err := f.Get(ctx, name)
 	return io.NopCloser(bytes.NewReader(data)), err
 }
 
-func (f fakeObjects) Delete(_ context.Context, name platform.ObjectName) error {
+func (f fakeObjects) Delete(_ context.Context, name tablestore.ObjectName) error {
 	delete(f.objects, name)
 	return nil
 }
--- a/internal/job/files.go
+++ b/internal/job/files.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // partitionOwnedFile begins the partitions that list an organisation's files.
 const partitionOwnedFile = "OrganisationFile/"
 
 // ownedFile returns the write of the row that lists a file.
-func ownedFile(file File) (platform.Write, error) {
+func ownedFile(file File) (tablestore.Write, error) {
 	return put(partitionOwnedFile+string(file.Organisation), string(file.ID), 0, file.Created)
 }
 
@@ -53,12 +53,12 @@
 	if err != nil {
 		return err
 	}
-	unlisted := platform.Write{
+	unlisted := tablestore.Write{
 		Key:     key(partitionOwnedFile+string(organisation), string(id)),
-		Action:  platform.ActionDelete,
+		Action:  tablestore.ActionDelete,
 		Version: 1,
 	}
-	return s.settle(ctx, platform.ClassCommit, []platform.Write{hidden, unlisted}, func() (bool, error) {
+	return s.settle(ctx, tablestore.ClassCommit, []tablestore.Write{hidden, unlisted}, func() (bool, error) {
 		_, err := s.File(ctx, organisation, id)
 		return errors.Is(err, ErrNotFound), err
 	})
@@ -75,7 +75,7 @@
 	// The lot after the last may have been stored too, if its put was cut off.
 	for number := range i.file.Lots + 1 {
 		err := i.objects.Delete(ctx, InputObject(i.file.ID, number))
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, tablestore.ErrNotFound) {
 			failed = storeError(err)
 		}
 	}
--- a/internal/job/intake.go
+++ b/internal/job/intake.go
@@ -19,7 +19,7 @@
 	"github.com/tidwall/gjson"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // completionPrefix begins the paths of completions.
@@ -177,11 +177,11 @@
 // putAttempts is how often a put whose outcome is unknown is repeated; a repeat stores the same bytes.
 const putAttempts = 4
 
-func putObject(ctx context.Context, objects Objects, name platform.ObjectName, data []byte) error {
+func putObject(ctx context.Context, objects Objects, name tablestore.ObjectName, data []byte) error {
 	var err error
 	for range putAttempts {
 		err = objects.Put(ctx, name, data)
-		if !errors.Is(err, platform.ErrUnknown) {
+		if !errors.Is(err, tablestore.ErrUnknown) {
 			break
 		}
 	}
--- a/internal/job/intake_fuzz_test.go
+++ b/internal/job/intake_fuzz_test.go
@@ -13,7 +13,7 @@
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/job"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // kept is an object store in memory that keeps puts in their order.
@@ -23,14 +23,14 @@
 	lots int
 }
 
-func (k *kept) Put(_ context.Context, _ platform.ObjectName, data []byte) error {
+func (k *kept) Put(_ context.Context, _ tablestore.ObjectName, data []byte) error {
 	k.lots++
 	_, err := k.data.Write(data)
 	return err
 }
 
-func (k *kept) Open(context.Context, platform.ObjectName) (io.ReadCloser, error) {
-	return nil, platform.ErrNotFound
+func (k *kept) Open(context.Context, tablestore.ObjectName) (io.ReadCloser, error) {
+	return nil, tablestore.ErrNotFound
 }
 
 // FuzzIntake looks for input that breaks the intake, and for accepted files whose lots are not the input's items.
--- a/internal/job/intake_test.go
+++ b/internal/job/intake_test.go
@@ -14,7 +14,7 @@
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/job"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // sink is an object store that keeps sizes only.
@@ -25,7 +25,7 @@
 	peak uint64
 }
 
-func (s *sink) Put(_ context.Context, _ platform.ObjectName, data []byte) error {
+func (s *sink) Put(_ context.Context, _ tablestore.ObjectName, data []byte) error {
 	s.objects++
 	s.bytes += int64(len(data))
 	if s.objects%100 == 0 {
@@ -36,15 +36,15 @@
 	return nil
 }
 
-func (*sink) Get(context.Context, platform.ObjectName) ([]byte, error) {
-	return nil, platform.ErrNotFound
+func (*sink) Get(context.Context, tablestore.ObjectName) ([]byte, error) {
+	return nil, tablestore.ErrNotFound
 }
 
-func (*sink) Open(context.Context, platform.ObjectName) (io.ReadCloser, error) {
-	return nil, platform.ErrNotFound
+func (*sink) Open(context.Context, tablestore.ObjectName) (io.ReadCloser, error) {
+	return nil, tablestore.ErrNotFound
 }
 
-func (*sink) Delete(context.Context, platform.ObjectName) error {
+func (*sink) Delete(context.Context, tablestore.ObjectName) error {
 	return nil
 }
 
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -9,8 +9,8 @@
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/lease"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // ID names a job. It comes from the organisation and the idempotency key, so that a resend finds the same job.
@@ -132,12 +132,12 @@
 	// Hops counts how often the lot was handed on because its holder had no endpoint for it.
 	Hops int
 	// Input is the object with the lot's items.
-	Input platform.ObjectName
+	Input tablestore.ObjectName
 	// Checkpoint is the object with the progress of earlier claims, or empty.
-	Checkpoint platform.ObjectName
+	Checkpoint tablestore.ObjectName
 	// Results and Errors are the objects with the finished items, or empty.
-	Results platform.ObjectName
-	Errors  platform.ObjectName
+	Results tablestore.ObjectName
+	Errors  tablestore.ObjectName
 	Counts  Counts
 }
 
@@ -213,13 +213,13 @@
 }
 
 // InputObject returns the object of a lot of an input file.
-func InputObject(file FileID, number int) platform.ObjectName {
-	return platform.ObjectName(fmt.Sprintf("file/%s/%08d", file, number))
+func InputObject(file FileID, number int) tablestore.ObjectName {
+	return tablestore.ObjectName(fmt.Sprintf("file/%s/%08d", file, number))
 }
 
 // ResultObject returns the object of a claim's results; kind tells output, errors and progress, and attempts, apart.
-func ResultObject(job ID, lot LotID, session lease.SessionID, claim int, kind string) platform.ObjectName {
-	return platform.ObjectName(fmt.Sprintf("result/%s/%s/%d-%s/%s", job, lot, claim, session, kind))
+func ResultObject(job ID, lot LotID, session lease.SessionID, claim int, kind string) tablestore.ObjectName {
+	return tablestore.ObjectName(fmt.Sprintf("result/%s/%s/%d-%s/%s", job, lot, claim, session, kind))
 }
 
 // IDFor returns the id of the job that the organisation makes with the idempotency key.
--- a/internal/job/lot.go
+++ b/internal/job/lot.go
@@ -9,13 +9,13 @@
 	"github.com/samber/oops"
 
 	"rhubarbrudder/internal/lease"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // LotRow is a lot and the version of its row, which fences it.
 type LotRow struct {
 	Lot
-	Version platform.Version
+	Version tablestore.Version
 }
 
 // Lots returns the lots of a job that have rows, in order.
@@ -50,12 +50,12 @@
 	if err != nil {
 		return LotRow{}, err
 	}
-	check := platform.Write{
+	check := tablestore.Write{
 		Key:     key(partitionActive, string(active.Job)),
-		Action:  platform.ActionCheck,
+		Action:  tablestore.ActionCheck,
 		Version: active.Version,
 	}
-	err = s.settle(ctx, platform.ClassClaim, []platform.Write{write, check}, func() (bool, error) {
+	err = s.settle(ctx, tablestore.ClassClaim, []tablestore.Write{write, check}, func() (bool, error) {
 		return s.holds(ctx, active.Job, lot.Lot)
 	})
 	lot.Version++
@@ -69,7 +69,7 @@
 	}
 	name := liveCheckpoint(id, *lot)
 	_, err := s.objects.Get(ctx, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return nil
 	}
 	if err == nil {
@@ -79,7 +79,7 @@
 }
 
 // liveCheckpoint returns the object that a claim's progress goes to while it lasts; a later one replaces it.
-func liveCheckpoint(id ID, lot Lot) platform.ObjectName {
+func liveCheckpoint(id ID, lot Lot) tablestore.ObjectName {
 	return ResultObject(id, lot.ID, lot.Session, lot.Claim, "checkpoint")
 }
 
@@ -145,7 +145,7 @@
 	return err
 }
 
-func (s *Store) putProgress(ctx context.Context, id ID, lot Lot, kind string, progress Checkpoint) (platform.ObjectName, error) {
+func (s *Store) putProgress(ctx context.Context, id ID, lot Lot, kind string, progress Checkpoint) (tablestore.ObjectName, error) {
 	data, err := json.Marshal(progress)
 	if err != nil {
 		return "", oops.In("job").Wrap(err)
@@ -156,13 +156,13 @@
 
 // update writes the row of a lot that this process holds, and more rows with it. A conflict with an earlier write
 // of the same claim, whose answer was lost, is settled by reading the row back.
-func (s *Store) update(ctx context.Context, id ID, lot LotRow, more ...platform.Write) (LotRow, error) {
+func (s *Store) update(ctx context.Context, id ID, lot LotRow, more ...tablestore.Write) (LotRow, error) {
 	for range settleAttempts {
 		write, err := put(partitionLot+string(id), string(lot.ID), lot.Version, lot.Lot)
 		if err != nil {
 			return lot, err
 		}
-		err = s.settle(ctx, platform.ClassCommit, append([]platform.Write{write}, more...), func() (bool, error) {
+		err = s.settle(ctx, tablestore.ClassCommit, append([]tablestore.Write{write}, more...), func() (bool, error) {
 			stored, _, err := s.lotRow(ctx, id, lot.ID)
 			return stored == lot.Lot, err
 		})
@@ -188,7 +188,7 @@
 	return lot, ErrUnknown
 }
 
-func (s *Store) lotRow(ctx context.Context, id ID, lot LotID) (Lot, platform.Version, error) {
+func (s *Store) lotRow(ctx context.Context, id ID, lot LotID) (Lot, tablestore.Version, error) {
 	var stored Lot
 	version, err := s.get(ctx, partitionLot+string(id), string(lot), &stored)
 	return stored, version, err
--- a/internal/job/model_test.go
+++ b/internal/job/model_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 
 	"rhubarbrudder/internal/lease"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 const (
@@ -47,8 +47,8 @@
 
 func newModel(t *rapid.T) *model {
 	fake := &fakePlatform{
-		rows:    map[platform.Key]platform.Row{},
-		objects: map[platform.ObjectName][]byte{},
+		rows:    map[tablestore.Key]tablestore.Row{},
+		objects: map[tablestore.ObjectName][]byte{},
 		fate:    func() int { return fateGood },
 	}
 	m := &model{
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -10,23 +10,23 @@
 	"github.com/samber/oops"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Table is what the store needs of the table service.
 type Table interface {
-	Get(ctx context.Context, key platform.Key) (platform.Row, error)
-	Page(ctx context.Context, partition, after string, limit int) ([]platform.Row, error)
-	All(ctx context.Context, partition string) ([]platform.Row, error)
-	Commit(ctx context.Context, txn platform.Txn) error
+	Get(ctx context.Context, key tablestore.Key) (tablestore.Row, error)
+	Page(ctx context.Context, partition, after string, limit int) ([]tablestore.Row, error)
+	All(ctx context.Context, partition string) ([]tablestore.Row, error)
+	Commit(ctx context.Context, txn tablestore.Txn) error
 }
 
 // Objects is what the store needs of the object store.
 type Objects interface {
-	Put(ctx context.Context, name platform.ObjectName, data []byte) error
-	Get(ctx context.Context, name platform.ObjectName) ([]byte, error)
-	Open(ctx context.Context, name platform.ObjectName) (io.ReadCloser, error)
-	Delete(ctx context.Context, name platform.ObjectName) error
+	Put(ctx context.Context, name tablestore.ObjectName, data []byte) error
+	Get(ctx context.Context, name tablestore.ObjectName) ([]byte, error)
+	Open(ctx context.Context, name tablestore.ObjectName) (io.ReadCloser, error)
+	Delete(ctx context.Context, name tablestore.ObjectName) error
 }
 
 // Store keeps jobs in the platform.
@@ -61,27 +61,27 @@
 	partitionLot    = "Lot/"
 )
 
-func key(partition, sort string) platform.Key {
-	return platform.Key{
+func key(partition, sort string) tablestore.Key {
+	return tablestore.Key{
 		Partition: partition,
 		Sort:      sort,
 	}
 }
 
 // put returns the write of a row that is at the version.
-func put(partition, sort string, version platform.Version, value any) (platform.Write, error) {
+func put(partition, sort string, version tablestore.Version, value any) (tablestore.Write, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Write{}, oops.In("job").Wrap(err)
+		return tablestore.Write{}, oops.In("job").Wrap(err)
 	}
-	return platform.Write{
+	return tablestore.Write{
 		Key:     key(partition, sort),
 		Version: version,
 		Data:    data,
 	}, nil
 }
 
-func (s *Store) get(ctx context.Context, partition, sort string, value any) (platform.Version, error) {
+func (s *Store) get(ctx context.Context, partition, sort string, value any) (tablestore.Version, error) {
 	row, err := s.table.Get(ctx, key(partition, sort))
 	if err != nil {
 		return 0, storeError(err)
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	return s.settle(ctx, platform.ClassCommit, []platform.Write{write, listed}, func() (bool, error) {
+	return s.settle(ctx, tablestore.ClassCommit, []tablestore.Write{write, listed}, func() (bool, error) {
 		_, err := s.File(ctx, file.Organisation, file.ID)
 		return err == nil, err
 	})
@@ -121,23 +121,23 @@
 
 // settle commits the writes. An unknown outcome is settled by repeating the same conditional writes;
 // a conflict after that is ours if applied says so.
-func (s *Store) settle(ctx context.Context, class platform.Class, writes []platform.Write, applied func() (bool, error)) error {
+func (s *Store) settle(ctx context.Context, class tablestore.Class, writes []tablestore.Write, applied func() (bool, error)) error {
 	unknown := false
 	for attempt := range settleAttempts {
 		if attempt > 0 && !s.pause(ctx, settlePause<<attempt) {
 			return ErrUnknown
 		}
-		err := s.table.Commit(ctx, platform.Txn{
+		err := s.table.Commit(ctx, tablestore.Txn{
 			Class:  class,
 			Writes: writes,
 		})
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, tablestore.ErrUnknown):
 			unknown = true
 			continue
-		case errors.Is(err, platform.ErrConflict) && unknown:
+		case errors.Is(err, tablestore.ErrConflict) && unknown:
 			ours, readErr := applied()
 			if readErr != nil && !errors.Is(readErr, ErrNotFound) {
 				return errors.Join(ErrUnknown, readErr)
@@ -146,7 +146,7 @@
 				return nil
 			}
 			return storeError(err)
-		case errors.Is(err, platform.ErrUnavailable) && unknown:
+		case errors.Is(err, tablestore.ErrUnavailable) && unknown:
 			continue
 		default:
 			return storeError(err)
@@ -189,7 +189,7 @@
 	if err != nil {
 		return Job{}, err
 	}
-	err = s.settle(ctx, platform.ClassCommit, writes, func() (bool, error) {
+	err = s.settle(ctx, tablestore.ClassCommit, writes, func() (bool, error) {
 		_, err := s.existing(ctx, job)
 		return err == nil, err
 	})
@@ -199,7 +199,7 @@
 	return job, err
 }
 
-func createWrites(job Job) ([]platform.Write, error) {
+func createWrites(job Job) ([]tablestore.Write, error) {
 	row, err := put(partitionJob, string(job.ID), 0, job)
 	if err != nil {
 		return nil, err
@@ -212,7 +212,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Write{row, active, owned}, nil
+	return []tablestore.Write{row, active, owned}, nil
 }
 
 func activeOf(job Job) Active {
@@ -253,7 +253,7 @@
 	return job, nil
 }
 
-func (s *Store) jobRow(ctx context.Context, id ID) (Job, platform.Version, error) {
+func (s *Store) jobRow(ctx context.Context, id ID) (Job, tablestore.Version, error) {
 	var job Job
 	version, err := s.get(ctx, partitionJob, string(id), &job)
 	return job, version, err
@@ -279,7 +279,7 @@
 // ActiveRow is an active job and the version of its row, which claims check.
 type ActiveRow struct {
 	Active
-	Version platform.Version
+	Version tablestore.Version
 }
 
 // Active returns every job that has not ended.
@@ -324,7 +324,7 @@
 }
 
 // commitState writes the job's row and its active row together, or drops the latter if the job has ended.
-func (s *Store) commitState(ctx context.Context, job Job, version platform.Version) error {
+func (s *Store) commitState(ctx context.Context, job Job, version tablestore.Version) error {
 	row, err := put(partitionJob, string(job.ID), version, job)
 	if err != nil {
 		return err
@@ -334,9 +334,9 @@
 		return err
 	}
 	if job.State.Ended() {
-		active.Action = platform.ActionDelete
+		active.Action = tablestore.ActionDelete
 	}
-	return s.settle(ctx, platform.ClassCommit, []platform.Write{row, active}, func() (bool, error) {
+	return s.settle(ctx, tablestore.ClassCommit, []tablestore.Write{row, active}, func() (bool, error) {
 		stored, _, err := s.jobRow(ctx, job.ID)
 		return stored.State == job.State && stored.Cancelled.Equal(job.Cancelled), err
 	})
--- a/internal/job/sweep.go
+++ b/internal/job/sweep.go
@@ -10,12 +10,12 @@
 
 	"github.com/samber/oops"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Lister lists objects by their prefix.
 type Lister interface {
-	Page(ctx context.Context, prefix, after platform.ObjectName, limit int) ([]platform.ObjectInfo, error)
+	Page(ctx context.Context, prefix, after tablestore.ObjectName, limit int) ([]tablestore.ObjectInfo, error)
 }
 
 // Sweeper removes what nothing refers to any more: results of jobs past their retention, objects that claims left
@@ -96,7 +96,7 @@
 
 // sweepJob removes an ended job past its retention, objects first, so that a sweep that breaks off is taken up again;
 // of a younger one, only the objects that its lots don't name.
-func (s *Sweeper) sweepJob(ctx context.Context, job Job, version platform.Version, now time.Time) error {
+func (s *Sweeper) sweepJob(ctx context.Context, job Job, version tablestore.Version, now time.Time) error {
 	expired := now.Sub(job.Ended) > s.retention()
 	if !expired && now.Sub(job.Ended) < orphanAge {
 		return nil
@@ -105,12 +105,12 @@
 	if err != nil {
 		return err
 	}
-	kept := map[platform.ObjectName]bool{}
+	kept := map[tablestore.ObjectName]bool{}
 	for _, lot := range lots {
 		kept[lot.Results] = !expired
 		kept[lot.Errors] = !expired
 	}
-	removed, err := s.remove(ctx, platform.ObjectName("result/"+string(job.ID)+"/"), func(info platform.ObjectInfo) bool {
+	removed, err := s.remove(ctx, tablestore.ObjectName("result/"+string(job.ID)+"/"), func(info tablestore.ObjectInfo) bool {
 		return !kept[info.Name]
 	})
 	if err != nil || !expired {
@@ -121,10 +121,10 @@
 }
 
 // forget deletes an expired job's rows, its own last.
-func (s *Sweeper) forget(ctx context.Context, job Job, version platform.Version, lots []LotRow) error {
+func (s *Sweeper) forget(ctx context.Context, job Job, version tablestore.Version, lots []LotRow) error {
 	for len(lots) > 0 {
-		var writes []platform.Write
-		for _, lot := range lots[:min(len(lots), platform.MaxWrites)] {
+		var writes []tablestore.Write
+		for _, lot := range lots[:min(len(lots), tablestore.MaxWrites)] {
 			writes = append(writes, deletion(partitionLot+string(job.ID), string(lot.ID), lot.Version))
 		}
 		lots = lots[len(writes):]
@@ -132,32 +132,32 @@
 			return err
 		}
 	}
-	return s.delete(ctx, []platform.Write{
+	return s.delete(ctx, []tablestore.Write{
 		deletion(partitionJob, string(job.ID), version),
 		deletion(partitionOwned+string(job.Organisation), string(job.ID), 1),
 	})
 }
 
-func deletion(partition, sort string, version platform.Version) platform.Write {
-	return platform.Write{
+func deletion(partition, sort string, version tablestore.Version) tablestore.Write {
+	return tablestore.Write{
 		Key:     key(partition, sort),
-		Action:  platform.ActionDelete,
+		Action:  tablestore.ActionDelete,
 		Version: version,
 	}
 }
 
 // delete commits deletions; if the answer is lost, the next sweep finds out.
-func (s *Sweeper) delete(ctx context.Context, writes []platform.Write) error {
-	return storeError(s.store.table.Commit(ctx, platform.Txn{
-		Class:  platform.ClassReport,
+func (s *Sweeper) delete(ctx context.Context, writes []tablestore.Write) error {
+	return storeError(s.store.table.Commit(ctx, tablestore.Txn{
+		Class:  tablestore.ClassReport,
 		Writes: writes,
 	}))
 }
 
 // remove deletes the objects with the prefix that may go and returns how many.
-func (s *Sweeper) remove(ctx context.Context, prefix platform.ObjectName, mayGo func(platform.ObjectInfo) bool) (int, error) {
+func (s *Sweeper) remove(ctx context.Context, prefix tablestore.ObjectName, mayGo func(tablestore.ObjectInfo) bool) (int, error) {
 	removed := 0
-	after := platform.ObjectName("")
+	after := tablestore.ObjectName("")
 	for {
 		infos, err := s.lister.Page(ctx, prefix, after, sweepPage)
 		if err != nil {
@@ -185,7 +185,7 @@
 func (s *Sweeper) sweepFiles(ctx context.Context, now time.Time) error {
 	accepted := map[string]bool{}
 	var failed error
-	_, err := s.remove(ctx, inputPrefix, func(info platform.ObjectInfo) bool {
+	_, err := s.remove(ctx, inputPrefix, func(info tablestore.ObjectInfo) bool {
 		id, _, _ := strings.Cut(strings.TrimPrefix(string(info.Name), inputPrefix), "/")
 		if now.Sub(info.Modified) < orphanAge || !s.mine(id) || failed != nil {
 			return false
@@ -194,7 +194,7 @@
 		if !asked {
 			_, err := s.store.table.Get(ctx, key(partitionFile, id))
 			known = err == nil
-			if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			if err != nil && !errors.Is(err, tablestore.ErrNotFound) {
 				failed = storeError(err)
 				return false
 			}
--- a/internal/job/sweep_test.go
+++ b/internal/job/sweep_test.go
@@ -12,8 +12,8 @@
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/job"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/tablestore"
 )
 
 const retention = 30 * 24 * time.Hour
@@ -58,8 +58,8 @@
 	played := standin.NewPlatform(1, 0)
 	server := httptest.NewServer(played.Handler())
 	t.Cleanup(server.Close)
-	objects := platform.NewObjects(server.Client(), server.URL, "objects", nil)
-	store := job.NewStore(platform.NewTable(server.Client(), server.URL, "test", nil), objects)
+	objects := tablestore.NewObjects(server.Client(), server.URL, "objects", nil)
+	store := job.NewStore(tablestore.NewTable(server.Client(), server.URL, "test", nil), objects)
 	ctx := context.Background()
 	id := endedJob(t, store)
 	input := strings.NewReader(`{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m"}}`)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/uuid"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // SessionID names a session; no two sessions ever share one.
@@ -21,8 +21,8 @@
 
 // Table is what sessions need of the table service.
 type Table interface {
-	All(ctx context.Context, partition string) ([]platform.Row, error)
-	Commit(ctx context.Context, txn platform.Txn) error
+	All(ctx context.Context, partition string) ([]tablestore.Row, error)
+	Commit(ctx context.Context, txn tablestore.Txn) error
 }
 
 // sessionRow is a session as stored; a row that ended never lives again.
@@ -56,12 +56,12 @@
 
 type ownSession struct {
 	id      SessionID
-	version platform.Version
+	version tablestore.Version
 }
 
 // observation is since when, on this process's clock, a row has not changed.
 type observation struct {
-	version platform.Version
+	version tablestore.Version
 	since   time.Time
 	ended   bool
 	row     sessionRow
@@ -169,7 +169,7 @@
 		Holder: s.holder,
 		Term:   s.ownTerm(),
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, tablestore.ErrConflict) {
 		return s.conflict(ctx, own)
 	}
 	if err != nil {
@@ -208,13 +208,13 @@
 	return nil
 }
 
-func (s *Sessions) write(ctx context.Context, id SessionID, version platform.Version, row sessionRow) error {
+func (s *Sessions) write(ctx context.Context, id SessionID, version tablestore.Version, row sessionRow) error {
 	data, err := json.Marshal(row)
 	if err != nil {
 		return err
 	}
-	write := platform.Write{
-		Key: platform.Key{
+	write := tablestore.Write{
+		Key: tablestore.Key{
 			Partition: partitionSession,
 			Sort:      string(id),
 		},
@@ -224,9 +224,9 @@
 	if row.Ended {
 		write.Expires = time.Now().Add(endedKept)
 	}
-	return s.table.Commit(ctx, platform.Txn{
-		Class: platform.ClassSession,
-		Writes: []platform.Write{
+	return s.table.Commit(ctx, tablestore.Txn{
+		Class: tablestore.ClassSession,
+		Writes: []tablestore.Write{
 			write,
 		},
 	})
@@ -250,7 +250,7 @@
 	observation observation
 }
 
-func (s *Sessions) compare(rows []platform.Row, now time.Time) []lapse {
+func (s *Sessions) compare(rows []tablestore.Row, now time.Time) []lapse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// After a gap in reading, a holder may not have had the chance to renew: the terms begin anew.
@@ -293,7 +293,7 @@
 	return lapsed
 }
 
-func decodeRow(row platform.Row) (sessionRow, bool) {
+func decodeRow(row tablestore.Row) (sessionRow, bool) {
 	var stored sessionRow
 	err := json.Unmarshal(row.Data, &stored)
 	return stored, err == nil
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -9,46 +9,46 @@
 
 	"gotest.tools/v3/assert"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 const testTerm = 6 * time.Second
 
 // fakeTable is a table of sessions in memory.
 type fakeTable struct {
-	rows map[string]platform.Row
+	rows map[string]tablestore.Row
 	// down refuses everything; lose loses the answers of so many writes.
 	down bool
 	lose int
 }
 
-func (f *fakeTable) All(context.Context, string) ([]platform.Row, error) {
+func (f *fakeTable) All(context.Context, string) ([]tablestore.Row, error) {
 	if f.down {
-		return nil, platform.ErrUnavailable
+		return nil, tablestore.ErrUnavailable
 	}
-	rows := make([]platform.Row, 0, len(f.rows))
+	rows := make([]tablestore.Row, 0, len(f.rows))
 	for _, row := range f.rows {
 		rows = append(rows, row)
 	}
 	return rows, nil
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
+func (f *fakeTable) Commit(_ context.Context, txn tablestore.Txn) error {
 	if f.down {
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	}
 	write := txn.Writes[0]
 	if f.rows[write.Key.Sort].Version != write.Version {
-		return platform.ErrConflict
+		return tablestore.ErrConflict
 	}
-	f.rows[write.Key.Sort] = platform.Row{
+	f.rows[write.Key.Sort] = tablestore.Row{
 		Key:     write.Key,
 		Version: write.Version + 1,
 		Data:    write.Data,
 	}
 	if f.lose > 0 {
 		f.lose--
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	return nil
 }
@@ -64,7 +64,7 @@
 func newPair() *pair {
 	p := &pair{
 		table: &fakeTable{
-			rows: map[string]platform.Row{},
+			rows: map[string]tablestore.Row{},
 		},
 	}
 	one := func() int { return 1 }
--- a/internal/loadtest/fleet.go
+++ b/internal/loadtest/fleet.go
@@ -13,10 +13,10 @@
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/peer"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/router"
 	"rhubarbrudder/internal/standin"
 	"rhubarbrudder/internal/steward"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Size says how large the fleet of a measurement is.
@@ -139,10 +139,10 @@
 	}
 }
 
-var measuredDomains = []platform.FailureDomain{"garmisch", "berchtesgaden", "oberstdorf"}
+var measuredDomains = []tablestore.FailureDomain{"garmisch", "berchtesgaden", "oberstdorf"}
 
 func (f *testFleet) startEngines() error {
-	var vms []platform.VM
+	var vms []tablestore.VM
 	for i := range f.size.Engines {
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.75.0.%d:0", 101+i))
 		if err != nil {
@@ -164,15 +164,15 @@
 		if err != nil {
 			return err
 		}
-		vms = append(vms, platform.VM{
-			Name:          platform.VMName(fmt.Sprintf("engine-%d", i)),
+		vms = append(vms, tablestore.VM{
+			Name:          tablestore.VMName(fmt.Sprintf("engine-%d", i)),
 			Incarnation:   "1",
 			Address:       host,
 			Port:          number,
 			Region:        "bayern-sued",
 			FailureDomain: measuredDomains[i%len(measuredDomains)],
 			Service:       string(measuredService),
-			State:         platform.VMLive,
+			State:         tablestore.VMLive,
 		})
 	}
 	f.directory.Update(vms)
@@ -184,7 +184,7 @@
 func (f *testFleet) member(role fleet.Role, i int, address string) fleet.Member {
 	return fleet.Member{
 		Role:          role,
-		VM:            platform.VMName(fmt.Sprintf("vm-%d", i)),
+		VM:            tablestore.VMName(fmt.Sprintf("vm-%d", i)),
 		Incarnation:   "1",
 		Address:       address,
 		Region:        "bayern-sued",
--- a/internal/order/issuer.go
+++ b/internal/order/issuer.go
@@ -10,7 +10,7 @@
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/explain"
 	"rhubarbrudder/internal/fleet"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Document is the view in force.
@@ -60,11 +60,11 @@
 }
 
 // Update takes in a reading of the VM list; leaving engines get no orders.
-func (i *Issuer) Update(vms []platform.VM) {
+func (i *Issuer) Update(vms []tablestore.VM) {
 	engines := map[document.ServiceName][]endpoint.Endpoint{}
 	for _, vm := range vms {
 		found, ok := endpoint.Of(vm)
-		if ok && vm.State != platform.VMLeaving {
+		if ok && vm.State != tablestore.VMLeaving {
 			engines[found.Service] = append(engines[found.Service], found)
 		}
 	}
--- a/internal/order/term.go
+++ b/internal/order/term.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"rhubarbrudder/internal/document"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Table is what terms need of the table service.
 type Table interface {
-	Get(ctx context.Context, key platform.Key) (platform.Row, error)
-	Commit(ctx context.Context, txn platform.Txn) error
+	Get(ctx context.Context, key tablestore.Key) (tablestore.Row, error)
+	Commit(ctx context.Context, txn tablestore.Txn) error
 }
 
 // termRow is a term as stored; its version tells a renewal from none.
@@ -36,13 +36,13 @@
 
 	mu      sync.Mutex
 	held    bool
-	version platform.Version
+	version tablestore.Version
 	row     termRow
 	// renewed is from before the last renewal was sent; settles is when orders of earlier issuers are carried out.
 	renewed time.Time
 	settles time.Time
 	// seen and since are another's row version and since when it was seen; read is the last look.
-	seen  platform.Version
+	seen  tablestore.Version
 	since time.Time
 	read  time.Time
 }
@@ -137,7 +137,7 @@
 	return t.takeOver(ctx, row, version)
 }
 
-func (t *term) takeOver(ctx context.Context, before termRow, version platform.Version) (bool, error) {
+func (t *term) takeOver(ctx context.Context, before termRow, version tablestore.Version) (bool, error) {
 	started := time.Now()
 	row := termRow{
 		Issuer: t.issuer,
@@ -172,9 +172,9 @@
 	return t.write(ctx, t.version, row)
 }
 
-func (t *term) get(ctx context.Context) (termRow, platform.Version, error) {
+func (t *term) get(ctx context.Context) (termRow, tablestore.Version, error) {
 	row, err := t.table.Get(ctx, t.key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tablestore.ErrNotFound) {
 		return termRow{}, 0, nil
 	}
 	if err != nil {
@@ -185,14 +185,14 @@
 	return stored, row.Version, err
 }
 
-func (t *term) write(ctx context.Context, version platform.Version, row termRow) error {
+func (t *term) write(ctx context.Context, version tablestore.Version, row termRow) error {
 	data, err := json.Marshal(row)
 	if err != nil {
 		return err
 	}
-	return t.table.Commit(ctx, platform.Txn{
-		Class: platform.ClassSession,
-		Writes: []platform.Write{
+	return t.table.Commit(ctx, tablestore.Txn{
+		Class: tablestore.ClassSession,
+		Writes: []tablestore.Write{
 			{
 				Key:     t.key(),
 				Version: version,
@@ -202,8 +202,8 @@
 	})
 }
 
-func (t *term) key() platform.Key {
-	return platform.Key{
+func (t *term) key() tablestore.Key {
+	return tablestore.Key{
 		Partition: partitionTerm,
 		Sort:      string(t.service),
 	}
--- a/internal/order/term_test.go
+++ b/internal/order/term_test.go
@@ -13,31 +13,31 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/endpoint"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // rowTable is a table of one row; it can lose the answer to the next write.
 type rowTable struct {
-	row  platform.Row
+	row  tablestore.Row
 	lose bool
 }
 
-func (r *rowTable) Get(context.Context, platform.Key) (platform.Row, error) {
+func (r *rowTable) Get(context.Context, tablestore.Key) (tablestore.Row, error) {
 	if r.row.Version == 0 {
-		return platform.Row{}, platform.ErrNotFound
+		return tablestore.Row{}, tablestore.ErrNotFound
 	}
 	return r.row, nil
 }
 
-func (r *rowTable) Commit(_ context.Context, txn platform.Txn) error {
+func (r *rowTable) Commit(_ context.Context, txn tablestore.Txn) error {
 	if txn.Writes[0].Version != r.row.Version {
-		return platform.ErrConflict
+		return tablestore.ErrConflict
 	}
 	r.row.Version++
 	r.row.Data = txn.Writes[0].Data
 	if r.lose {
 		r.lose = false
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	return nil
 }
--- a/internal/organisation/limiter_test.go
+++ b/internal/organisation/limiter_test.go
@@ -18,7 +18,7 @@
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/organisation"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 func init() {
@@ -146,7 +146,7 @@
 	for i := range gateways {
 		r.members = append(r.members, fleet.Member{
 			Role:        fleet.RoleGateway,
-			VM:          platform.VMName(fmt.Sprintf("vm-%d", i)),
+			VM:          tablestore.VMName(fmt.Sprintf("vm-%d", i)),
 			Incarnation: "1",
 			Address:     fmt.Sprintf("127.59.0.%d:7101", 11+i),
 		})
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,453 @@
+// Package pool decides which request runs at which endpoint of a service, and when. One VM, the pool's steward, holds
+// the one queue of a pool; what it knows is told anew by the VMs when another VM takes over.
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rhubarbrudder/internal/inventory"
+)
+
+type (
+	// TicketID names one wish of a VM for a slot.
+	TicketID string
+	// VMName names a VM of the system.
+	VMName string
+)
+
+// Class separates callers that wait for their answer from work that is due later.
+type Class int
+
+const (
+	ClassOnline Class = iota
+	ClassBatch
+)
+
+// Ticket asks for a slot at an endpoint.
+type Ticket struct {
+	ID    TicketID
+	VM    VMName
+	Class Class
+	// Rank orders online tickets by urgency before their time; zero is the most urgent.
+	Rank int
+	// Start is until when a run must begin to be on time.
+	Start time.Time
+	// Expires is when the ticket is refused if it has no slot.
+	Expires time.Time
+	// Avoid lists endpoints at which the request failed before.
+	Avoid []inventory.ID
+	// Domain is the VM's failure domain; an endpoint there is preferred among equals.
+	Domain inventory.Domain
+}
+
+// run is a ticket that holds a slot.
+type run struct {
+	ticket   Ticket
+	endpoint inventory.ID
+	since    time.Time
+	// revoked is when its holder was told to give the slot back; zero if it was not.
+	revoked time.Time
+}
+
+// Kind of an Outcome.
+type OutcomeKind int
+
+const (
+	// OutcomeGrant gives a ticket a slot.
+	OutcomeGrant OutcomeKind = iota
+	// OutcomeRevoke asks for the slot of a batch run back.
+	OutcomeRevoke
+	// OutcomeRefuse says that a ticket gets no slot in its time.
+	OutcomeRefuse
+)
+
+// Outcome is a decision for a VM.
+type Outcome struct {
+	Kind     OutcomeKind
+	VM       VMName
+	Ticket   TicketID
+	Endpoint inventory.ID
+	// RetryAfter is when it makes sense to ask again after a refusal.
+	RetryAfter time.Duration
+}
+
+// Trouble is what a VM saw at an endpoint.
+type Trouble int
+
+const (
+	TroubleNone Trouble = iota
+	// TroubleUnreachable means that no connection could be made.
+	TroubleUnreachable
+	// TroubleBroken means that a connection broke off or went silent.
+	TroubleBroken
+	// TroubleFull means that the endpoint turned a request away.
+	TroubleFull
+	// TroubleLeaving means that the VM knows of the endpoint's departure.
+	TroubleLeaving
+)
+
+const (
+	// retryAfter is the pause that a refused caller is asked to make: about the time in which a full pool
+	// turns over once, as a generation takes about a second.
+	retryAfter = 500 * time.Millisecond
+	// restUnreachable, restBroken and restFull are for how long an endpoint gets no new work after trouble; each
+	// further trouble in a row doubles it up to restMost.
+	restUnreachable = 500 * time.Millisecond
+	restBroken      = 100 * time.Millisecond
+	restFull        = 50 * time.Millisecond
+	restMost        = 2 * time.Second
+)
+
+// endpoint is what the pool knows of an endpoint.
+type endpoint struct {
+	inventory.Endpoint
+	running int
+	// troubles counts troubles since the last success.
+	troubles int
+	restsTo  time.Time
+	gone     bool
+}
+
+// Pool is the queue and the slots of one service. It is not safe for use by several goroutines.
+type Pool struct {
+	endpoints map[inventory.ID]*endpoint
+	order     []*endpoint
+	online    []Ticket
+	batch     []Ticket
+	waiting   map[TicketID]Class
+	runs      map[TicketID]*run
+	outcomes  []Outcome
+	turn      int
+}
+
+// New returns a pool without endpoints.
+func New() *Pool {
+	return &Pool{
+		endpoints: map[inventory.ID]*endpoint{},
+		waiting:   map[TicketID]Class{},
+		runs:      map[TicketID]*run{},
+	}
+}
+
+// SetEndpoints takes the service's endpoints. Those that left keep their runs but get no new ones.
+func (p *Pool) SetEndpoints(list []inventory.Endpoint) {
+	listed := make(map[inventory.ID]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		known := p.endpoints[e.ID]
+		if known == nil {
+			known = &endpoint{}
+			p.endpoints[e.ID] = known
+			for _, r := range p.runs {
+				if r.endpoint == e.ID {
+					known.running++
+				}
+			}
+		}
+		if known.Born != e.Born {
+			known.troubles = 0
+			known.restsTo = time.Time{}
+		}
+		known.Endpoint = e
+		known.gone = false
+	}
+	p.order = p.order[:0]
+	for id, e := range p.endpoints {
+		if !listed[id] {
+			e.gone = true
+		}
+		if e.gone && e.running <= 0 {
+			delete(p.endpoints, id)
+			continue
+		}
+		p.order = append(p.order, e)
+	}
+	slices.SortFunc(p.order, func(a, b *endpoint) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+}
+
+// Ask adds a ticket; one that is known already is left as it is.
+func (p *Pool) Ask(t Ticket) {
+	if _, waits := p.waiting[t.ID]; waits || p.runs[t.ID] != nil {
+		return
+	}
+	p.waiting[t.ID] = t.Class
+	queue := p.queue(t.Class)
+	at, _ := slices.BinarySearchFunc(*queue, t, compareTickets)
+	*queue = slices.Insert(*queue, at, t)
+}
+
+// Hold takes a run that a VM had before this pool knew of it.
+func (p *Pool) Hold(t Ticket, at inventory.ID, now time.Time) {
+	p.Withdraw(t.ID)
+	if p.runs[t.ID] != nil {
+		return
+	}
+	p.runs[t.ID] = &run{
+		ticket:   t,
+		endpoint: at,
+		since:    now,
+	}
+	if e := p.endpoints[at]; e != nil {
+		e.running++
+	}
+}
+
+// Withdraw forgets a ticket that waits.
+func (p *Pool) Withdraw(id TicketID) {
+	class, waits := p.waiting[id]
+	if !waits {
+		return
+	}
+	delete(p.waiting, id)
+	queue := p.queue(class)
+	*queue = slices.DeleteFunc(*queue, func(t Ticket) bool {
+		return t.ID == id
+	})
+}
+
+// Release frees the slot of a run, with what its VM saw of the endpoint.
+func (p *Pool) Release(id TicketID, trouble Trouble, now time.Time) {
+	p.Withdraw(id)
+	r := p.runs[id]
+	if r == nil {
+		return
+	}
+	delete(p.runs, id)
+	e := p.endpoints[r.endpoint]
+	if e == nil {
+		return
+	}
+	if r.revoked.IsZero() {
+		e.running--
+	}
+	e.observe(trouble, now)
+}
+
+// Forget drops all tickets and runs of a VM.
+func (p *Pool) Forget(vm VMName, now time.Time) {
+	for id, r := range p.runs {
+		if r.ticket.VM == vm {
+			p.Release(id, TroubleNone, now)
+		}
+	}
+	for _, class := range []Class{ClassOnline, ClassBatch} {
+		queue := p.queue(class)
+		*queue = slices.DeleteFunc(*queue, func(t Ticket) bool {
+			if t.VM != vm {
+				return false
+			}
+			delete(p.waiting, t.ID)
+			return true
+		})
+	}
+}
+
+// Decide returns the outcomes of what was told since the last call, and of the time that passed.
+func (p *Pool) Decide(now time.Time) []Outcome {
+	p.expire(now)
+	p.grantOnline(now)
+	p.grantBatch(now)
+	outcomes := p.outcomes
+	p.outcomes = nil
+	return outcomes
+}
+
+// Idle says whether nothing waits, so that no time needs to be watched.
+func (p *Pool) Idle() bool {
+	return len(p.waiting) == 0
+}
+
+// Counts returns how many tickets wait and run by class.
+func (p *Pool) Counts() (online, batch, running int) {
+	return len(p.online), len(p.batch), len(p.runs)
+}
+
+func (p *Pool) queue(class Class) *[]Ticket {
+	if class == ClassOnline {
+		return &p.online
+	}
+	return &p.batch
+}
+
+func compareTickets(a, b Ticket) int {
+	return cmp.Or(
+		cmp.Compare(a.Rank, b.Rank),
+		a.Start.Compare(b.Start),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func (p *Pool) expire(now time.Time) {
+	for _, class := range []Class{ClassOnline, ClassBatch} {
+		queue := p.queue(class)
+		*queue = slices.DeleteFunc(*queue, func(t Ticket) bool {
+			if now.Before(t.Expires) {
+				return false
+			}
+			delete(p.waiting, t.ID)
+			p.outcomes = append(p.outcomes, Outcome{
+				Kind:       OutcomeRefuse,
+				VM:         t.VM,
+				Ticket:     t.ID,
+				RetryAfter: retryAfter,
+			})
+			return true
+		})
+	}
+}
+
+// grantOnline gives slots to online tickets; where none is free, a batch run gives way.
+func (p *Pool) grantOnline(now time.Time) {
+	left := p.online[:0]
+	for _, t := range p.online {
+		e := p.free(t, now)
+		if e == nil {
+			e = p.revoke(t, now)
+		}
+		if e == nil {
+			left = append(left, t)
+			continue
+		}
+		p.grant(t, e, now)
+	}
+	p.online = left
+}
+
+// grantBatch gives the slots that are left to batch tickets.
+func (p *Pool) grantBatch(now time.Time) {
+	if len(p.online) > 0 {
+		return
+	}
+	left := p.batch[:0]
+	for i, t := range p.batch {
+		e := p.free(t, now)
+		if e == nil && len(t.Avoid) == 0 {
+			left = append(left, p.batch[i:]...)
+			break
+		}
+		if e == nil {
+			left = append(left, t)
+			continue
+		}
+		p.grant(t, e, now)
+	}
+	p.batch = left
+}
+
+func (p *Pool) grant(t Ticket, e *endpoint, now time.Time) {
+	delete(p.waiting, t.ID)
+	e.running++
+	p.runs[t.ID] = &run{
+		ticket:   t,
+		endpoint: e.ID,
+		since:    now,
+	}
+	p.outcomes = append(p.outcomes, Outcome{
+		Kind:     OutcomeGrant,
+		VM:       t.VM,
+		Ticket:   t.ID,
+		Endpoint: e.ID,
+	})
+}
+
+// free returns the endpoint with the most free slots, or nil. Among equals it takes turns, the VM's failure domain first.
+func (p *Pool) free(t Ticket, now time.Time) *endpoint {
+	var best *endpoint
+	p.turn++
+	for i := range p.order {
+		e := p.order[(i+p.turn)%len(p.order)]
+		if !e.takes(t, now) || e.running >= e.limit() {
+			continue
+		}
+		if best == nil || e.better(best, t.Domain) {
+			best = e
+		}
+	}
+	return best
+}
+
+func (e *endpoint) better(than *endpoint, domain inventory.Domain) bool {
+	if mine, theirs := e.limit()-e.running, than.limit()-than.running; mine != theirs {
+		return mine > theirs
+	}
+	return e.Domain == domain && than.Domain != domain
+}
+
+// limit is how many runs the endpoint may have; one at a time after trouble, until a run succeeds.
+func (e *endpoint) limit() int {
+	if e.troubles > 0 {
+		return 1
+	}
+	return e.Slots
+}
+
+func (e *endpoint) takes(t Ticket, now time.Time) bool {
+	return !e.gone && !e.Leaving && !now.Before(e.restsTo) && !slices.Contains(t.Avoid, e.ID)
+}
+
+// revoke takes the slot of the batch run with the most time left and returns its endpoint, or nil.
+func (p *Pool) revoke(t Ticket, now time.Time) *endpoint {
+	var victim *run
+	for _, r := range p.runs {
+		if r.ticket.Class != ClassBatch || !r.revoked.IsZero() {
+			continue
+		}
+		e := p.endpoints[r.endpoint]
+		if e == nil || !e.takes(t, now) {
+			continue
+		}
+		if victim == nil || later(r, victim) {
+			victim = r
+		}
+	}
+	if victim == nil {
+		return nil
+	}
+	victim.revoked = now
+	p.outcomes = append(p.outcomes, Outcome{
+		Kind:   OutcomeRevoke,
+		VM:     victim.ticket.VM,
+		Ticket: victim.ticket.ID,
+	})
+	e := p.endpoints[victim.endpoint]
+	e.running--
+	return e
+}
+
+// later orders batch runs by how well they can wait.
+func later(a, b *run) bool {
+	if !a.ticket.Start.Equal(b.ticket.Start) {
+		return a.ticket.Start.After(b.ticket.Start)
+	}
+	return a.ticket.ID > b.ticket.ID
+}
+
+// observe takes what a VM saw of the endpoint.
+func (e *endpoint) observe(trouble Trouble, now time.Time) {
+	var rest time.Duration
+	switch trouble {
+	case TroubleNone:
+		e.troubles = 0
+		return
+	case TroubleLeaving:
+		e.Leaving = true
+		return
+	case TroubleUnreachable:
+		rest = restUnreachable
+		e.troubles++
+	case TroubleBroken:
+		rest = restBroken
+	case TroubleFull:
+		rest = restFull
+	}
+	for range min(e.troubles-1, 4) {
+		rest *= 2
+	}
+	if to := now.Add(min(rest, restMost)); to.After(e.restsTo) {
+		e.restsTo = to
+	}
+}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -21,8 +21,8 @@
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/peer"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/tablestore"
 	"rhubarbrudder/internal/telemetry"
 )
 
@@ -30,8 +30,8 @@
 type base struct {
 	settings  settings.Settings
 	log       *slog.Logger
-	table     *platform.Table
-	objects   *platform.Objects
+	table     *tablestore.Table
+	objects   *tablestore.Objects
 	follower  *document.Follower
 	spread    *document.Spread
 	store     *document.Store
@@ -77,8 +77,8 @@
 	b := &base{
 		settings:  s,
 		log:       log,
-		table:     platform.NewTable(to.table, s.Platform.TableURL, s.Platform.Table, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
-		objects:   platform.NewObjects(to.objects, s.Platform.ObjectsURL, s.Platform.Bucket, platform.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
+		table:     tablestore.NewTable(to.table, s.Platform.TableURL, s.Platform.Table, tablestore.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
+		objects:   tablestore.NewObjects(to.objects, s.Platform.ObjectsURL, s.Platform.Bucket, tablestore.NewBudget(s.Platform.WritesPerSecond, s.Platform.ReadsPerSecond)),
 		directory: endpoint.NewDirectory(),
 		peers:     peer.NewPool(secret),
 		server:    peer.NewServer(secret, log),
@@ -101,7 +101,7 @@
 	b.notes = explain.New(b.self.ID())
 	b.store = document.NewStore(b.table, b.objects)
 	b.jobs = job.NewStore(b.table, b.objects)
-	b.fleet = fleet.New(b.self, ports(s), platform.NewVMList(to.list, s.Platform.VMListURL), b.peers, log)
+	b.fleet = fleet.New(b.self, ports(s), tablestore.NewVMList(to.list, s.Platform.VMListURL), b.peers, log)
 	b.fleet.OnList(b.directory.Update)
 	b.follower = document.NewFollower(b.store, b.fleet, document.DefaultLimits(time.Duration(s.Timing.DocumentPoll)), log)
 	b.spread = document.NewSpread(b.follower, b.peers, log)
--- a/internal/process/platform.go
+++ b/internal/process/platform.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/tablestore"
 	"rhubarbrudder/internal/telemetry"
 )
 
@@ -35,18 +35,18 @@
 			list:    plain,
 		}, nil
 	}
-	key, err := platform.ReadAccessKey(s.AccessKeyFile)
+	key, err := tablestore.ReadAccessKey(s.AccessKeyFile)
 	if err != nil {
 		return clients{}, startError(err)
 	}
-	signed := func(service platform.SigningService) *http.Client {
+	signed := func(service tablestore.SigningService) *http.Client {
 		return &http.Client{
-			Transport: platform.NewSigner(transport, key, service, s.SigningRegion, time.Now),
+			Transport: tablestore.NewSigner(transport, key, service, s.SigningRegion, time.Now),
 		}
 	}
 	return clients{
-		table:   signed(platform.SigningTable),
-		objects: signed(platform.SigningObjects),
+		table:   signed(tablestore.SigningTable),
+		objects: signed(tablestore.SigningObjects),
 		list:    plain,
 	}, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"rhubarbrudder/internal/jsonc"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Settings is a process's settings file. The same file serves the three processes of a VM.
@@ -24,10 +24,10 @@
 
 // VM says where the process runs.
 type VM struct {
-	Name          platform.VMName `validate:"required"`
-	Address       string          `validate:"required,ip"`
-	Region        platform.Region `validate:"required"`
-	FailureDomain platform.FailureDomain
+	Name          tablestore.VMName `validate:"required"`
+	Address       string            `validate:"required,ip"`
+	Region        tablestore.Region `validate:"required"`
+	FailureDomain tablestore.FailureDomain
 }
 
 // Ports are the TCP ports, the same on each VM.
@@ -48,13 +48,13 @@
 
 // Platform says where the platform's services are and how much of them the fleet may use.
 type Platform struct {
-	TableURL        string             `validate:"required,url"`
-	Table           platform.TableName `validate:"required"`
-	ObjectsURL      string             `validate:"required,url"`
-	Bucket          string             `validate:"required"`
-	VMListURL       string             `validate:"required,url"`
-	WritesPerSecond platform.Rate      `validate:"gt=0"`
-	ReadsPerSecond  platform.Rate      `validate:"gt=0"`
+	TableURL        string               `validate:"required,url"`
+	Table           tablestore.TableName `validate:"required"`
+	ObjectsURL      string               `validate:"required,url"`
+	Bucket          string               `validate:"required"`
+	VMListURL       string               `validate:"required,url"`
+	WritesPerSecond tablestore.Rate      `validate:"gt=0"`
+	ReadsPerSecond  tablestore.Rate      `validate:"gt=0"`
 	// AccessKeyFile holds the id and the secret that sign requests, a line each; empty for a platform that asks for none.
 	AccessKeyFile string
 	// SigningRegion is the region that signatures name.
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Objects is an object store in memory.
@@ -52,7 +52,7 @@
 }
 
 // Data returns an object's data and whether it exists, for checkers.
-func (o *Objects) Data(name platform.ObjectName) ([]byte, bool) {
+func (o *Objects) Data(name tablestore.ObjectName) ([]byte, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	found, ok := o.objects[string(name)]
@@ -132,7 +132,7 @@
 	if err != nil {
 		limit = 1000
 	}
-	result := platform.ListBucketResult{}
+	result := tablestore.ListBucketResult{}
 	for _, name := range o.Names(query.Get("prefix")) {
 		if name <= query.Get("start-after") {
 			continue
@@ -146,11 +146,11 @@
 	_ = xml.NewEncoder(w).Encode(result)
 }
 
-func (o *Objects) listed(name string) platform.ListedContent {
+func (o *Objects) listed(name string) tablestore.ListedContent {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	found := o.objects[name]
-	return platform.ListedContent{
+	return tablestore.ListedContent{
 		Key:          name,
 		Size:         int64(len(found.data)),
 		LastModified: found.modified,
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Platform plays the table service, the object store and the VM list behind one handler:
@@ -72,7 +72,7 @@
 
 type vmListState struct {
 	set time.Time
-	vms []platform.VM
+	vms []tablestore.VM
 }
 
 // NewVMList returns an empty list with the lag.
@@ -92,7 +92,7 @@
 }
 
 // Set replaces the list; the first list is visible at once.
-func (l *VMList) Set(vms []platform.VM) {
+func (l *VMList) Set(vms []tablestore.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state := vmListState{
@@ -104,7 +104,7 @@
 	l.past = append(l.past, state)
 }
 
-func (l *VMList) visible(reader string) []platform.VM {
+func (l *VMList) visible(reader string) []tablestore.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lag, own := l.lags[reader]
@@ -125,7 +125,7 @@
 }
 
 func (l *VMList) servePut(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []tablestore.VM
 	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // Table is a transactional table service in memory.
@@ -22,9 +22,9 @@
 }
 
 type partition struct {
-	items map[string]platform.Item
+	items map[string]tablestore.Item
 	// before holds rows as they were before their last write.
-	before map[string]platform.Item
+	before map[string]tablestore.Item
 	sorts  []string
 }
 
@@ -55,19 +55,19 @@
 }
 
 // Rows returns the rows of every partition that begins with the prefix, for checkers.
-func (t *Table) Rows(prefix string) []platform.Row {
+func (t *Table) Rows(prefix string) []tablestore.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []tablestore.Row
 	for name, part := range t.partitions {
 		if !strings.HasPrefix(name, prefix) {
 			continue
 		}
 		for _, sort := range part.sorts {
 			item := part.items[sort]
-			rows = append(rows, platform.Row{
-				Key:     platform.ItemKey(item),
-				Version: platform.ItemVersion(item),
+			rows = append(rows, tablestore.Row{
+				Key:     tablestore.ItemKey(item),
+				Version: tablestore.ItemVersion(item),
 				Data:    item["Data"].B,
 			})
 		}
@@ -77,7 +77,7 @@
 
 // ServeHTTP answers one operation of DynamoDB's JSON protocol.
 func (t *Table) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	operation := strings.TrimPrefix(r.Header.Get(platform.TargetHeader), platform.TargetPrefix)
+	operation := strings.TrimPrefix(r.Header.Get(tablestore.TargetHeader), tablestore.TargetPrefix)
 	switch operation {
 	case "GetItem":
 		t.serveGet(w, r)
@@ -86,7 +86,7 @@
 	case "TransactWriteItems":
 		t.serveTransact(w, r)
 	default:
-		writeJSON(w, http.StatusBadRequest, platform.WireError{
+		writeJSON(w, http.StatusBadRequest, tablestore.WireError{
 			Type:    "UnknownOperationException",
 			Message: operation,
 		})
@@ -94,25 +94,25 @@
 }
 
 func (t *Table) serveGet(w http.ResponseWriter, r *http.Request) {
-	var in platform.GetItem
+	var in tablestore.GetItem
 	if !decode(w, r, &in) {
 		return
 	}
 	t.mu.Lock()
 	t.reads++
-	key := platform.ItemKey(in.Key)
+	key := tablestore.ItemKey(in.Key)
 	item := t.item(key)
 	if part := t.partitions[key.Partition]; part != nil && t.Faults.staleRead() {
 		item = part.before[key.Sort]
 	}
 	t.mu.Unlock()
-	writeJSON(w, http.StatusOK, platform.GetItemOutput{
+	writeJSON(w, http.StatusOK, tablestore.GetItemOutput{
 		Item: item,
 	})
 }
 
 func (t *Table) serveQuery(w http.ResponseWriter, r *http.Request) {
-	var in platform.Query
+	var in tablestore.Query
 	if !decode(w, r, &in) {
 		return
 	}
@@ -120,7 +120,7 @@
 	items := t.query(in)
 	t.reads += int64(1 + len(items)/readRows)
 	t.mu.Unlock()
-	writeJSON(w, http.StatusOK, platform.QueryOutput{
+	writeJSON(w, http.StatusOK, tablestore.QueryOutput{
 		Items: items,
 	})
 }
@@ -128,7 +128,7 @@
 // readRows is how many small rows of a query count as one read.
 const readRows = 100
 
-func (t *Table) query(in platform.Query) []platform.Item {
+func (t *Table) query(in tablestore.Query) []tablestore.Item {
 	part := t.partitions[in.ExpressionAttributeValues.Text(":p")]
 	if part == nil {
 		return nil
@@ -138,7 +138,7 @@
 	if found {
 		start++
 	}
-	var items []platform.Item
+	var items []tablestore.Item
 	for _, sort := range part.sorts[start:] {
 		if len(items) == in.Limit {
 			break
@@ -151,12 +151,12 @@
 }
 
 func (t *Table) serveTransact(w http.ResponseWriter, r *http.Request) {
-	var in platform.TransactWriteItems
+	var in tablestore.TransactWriteItems
 	if !decode(w, r, &in) {
 		return
 	}
-	if len(in.TransactItems) > platform.MaxWrites {
-		writeJSON(w, http.StatusBadRequest, platform.WireError{
+	if len(in.TransactItems) > tablestore.MaxWrites {
+		writeJSON(w, http.StatusBadRequest, tablestore.WireError{
 			Type:    "ValidationException",
 			Message: "too many items",
 		})
@@ -174,13 +174,13 @@
 }
 
 // apply returns the first row's partition, and the error if a condition failed.
-func (t *Table) apply(in platform.TransactWriteItems) (string, *platform.WireError) {
+func (t *Table) apply(in tablestore.TransactWriteItems) (string, *tablestore.WireError) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.txns++
 	kind := ""
 	failed := false
-	reasons := make([]platform.CancellationReason, len(in.TransactItems))
+	reasons := make([]tablestore.CancellationReason, len(in.TransactItems))
 	for i, action := range in.TransactItems {
 		write, key := actionWrite(action)
 		if kind == "" {
@@ -194,7 +194,7 @@
 		}
 	}
 	if failed {
-		return kind, &platform.WireError{
+		return kind, &tablestore.WireError{
 			Type:                "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
 			Message:             "Transaction cancelled",
 			CancellationReasons: reasons,
@@ -206,36 +206,36 @@
 	return kind, nil
 }
 
-func actionWrite(action platform.WireAction) (*platform.WireWrite, platform.Key) {
+func actionWrite(action tablestore.WireAction) (*tablestore.WireWrite, tablestore.Key) {
 	switch {
 	case action.Put != nil:
-		return action.Put, platform.ItemKey(action.Put.Item)
+		return action.Put, tablestore.ItemKey(action.Put.Item)
 	case action.Delete != nil:
-		return action.Delete, platform.ItemKey(action.Delete.Key)
+		return action.Delete, tablestore.ItemKey(action.Delete.Key)
 	default:
-		return action.ConditionCheck, platform.ItemKey(action.ConditionCheck.Key)
+		return action.ConditionCheck, tablestore.ItemKey(action.ConditionCheck.Key)
 	}
 }
 
-func (t *Table) holds(write *platform.WireWrite, key platform.Key) bool {
+func (t *Table) holds(write *tablestore.WireWrite, key tablestore.Key) bool {
 	item := t.item(key)
 	switch write.ConditionExpression {
 	case "":
 		return true
-	case platform.ConditionAbsent:
+	case tablestore.ConditionAbsent:
 		return item == nil
 	default:
 		return item != nil && item.Number("Version") == write.ExpressionAttributeValues.Number(":v")
 	}
 }
 
-func (t *Table) store(action platform.WireAction) {
+func (t *Table) store(action tablestore.WireAction) {
 	write, key := actionWrite(action)
 	part := t.partitions[key.Partition]
 	if part == nil {
 		part = &partition{
-			items:  map[string]platform.Item{},
-			before: map[string]platform.Item{},
+			items:  map[string]tablestore.Item{},
+			before: map[string]tablestore.Item{},
 		}
 		t.partitions[key.Partition] = part
 	}
@@ -253,7 +253,7 @@
 	}
 }
 
-func (t *Table) item(key platform.Key) platform.Item {
+func (t *Table) item(key tablestore.Key) tablestore.Item {
 	part := t.partitions[key.Partition]
 	if part == nil {
 		return nil
@@ -265,14 +265,14 @@
 	return item
 }
 
-func expired(item platform.Item) bool {
-	at := platform.ItemExpires(item)
+func expired(item tablestore.Item) bool {
+	at := tablestore.ItemExpires(item)
 	return at > 0 && at < time.Now().Unix()
 }
 
 func decode(w http.ResponseWriter, r *http.Request, value any) bool {
 	if err := json.NewDecoder(r.Body).Decode(value); err != nil {
-		writeJSON(w, http.StatusBadRequest, platform.WireError{
+		writeJSON(w, http.StatusBadRequest, tablestore.WireError{
 			Type:    "SerializationException",
 			Message: err.Error(),
 		})
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -18,7 +18,7 @@
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/endpoint"
 	"rhubarbrudder/internal/fleet"
-	"rhubarbrudder/internal/platform"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // TestMain fixes the seed of the properties.
@@ -62,7 +62,7 @@
 func member(i int) fleet.Member {
 	return fleet.Member{
 		Role:        fleet.RoleDispatcher,
-		VM:          platform.VMName(fmt.Sprintf("vm-%d", i)),
+		VM:          tablestore.VMName(fmt.Sprintf("vm-%d", i)),
 		Incarnation: "1",
 		Address:     fmt.Sprintf("127.72.0.%d:7102", i),
 	}
@@ -70,13 +70,13 @@
 
 func engines(n int) *endpoint.Directory {
 	directory := endpoint.NewDirectory()
-	var vms []platform.VM
+	var vms []tablestore.VM
 	for i := range n {
-		vms = append(vms, platform.VM{
-			Name:        platform.VMName(fmt.Sprintf("engine-%d", i)),
+		vms = append(vms, tablestore.VM{
+			Name:        tablestore.VMName(fmt.Sprintf("engine-%d", i)),
 			Incarnation: "1",
 			Service:     string(testService),
-			State:       platform.VMLive,
+			State:       tablestore.VMLive,
 		})
 	}
 	directory.Update(vms)
--- a/internal/platform/objects.go
+++ b/internal/tablestore/objects.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"context"
@@ -67,7 +67,7 @@
 	defer cancel()
 	req, err := o.base.New().Put(o.path(name)).Body(strings.NewReader(string(data))).Request()
 	if err != nil {
-		return oops.In("platform").Wrap(err)
+		return oops.In("tablestore").Wrap(err)
 	}
 	_, err = o.do(req.WithContext(ctx))
 	return err
@@ -82,7 +82,7 @@
 	defer func() { _ = body.Close() }()
 	data, err := io.ReadAll(body)
 	if err != nil {
-		return nil, oops.In("platform").Wrap(errors.Join(ErrUnavailable, err))
+		return nil, oops.In("tablestore").Wrap(errors.Join(ErrUnavailable, err))
 	}
 	return data, nil
 }
@@ -94,7 +94,7 @@
 	}
 	req, err := o.base.New().Get(o.path(name)).Request()
 	if err != nil {
-		return nil, oops.In("platform").Wrap(err)
+		return nil, oops.In("tablestore").Wrap(err)
 	}
 	response, err := o.client.Do(req.WithContext(ctx))
 	if err != nil {
@@ -119,7 +119,7 @@
 	defer cancel()
 	req, err := o.base.New().Delete(o.path(name)).Request()
 	if err != nil {
-		return oops.In("platform").Wrap(err)
+		return oops.In("tablestore").Wrap(err)
 	}
 	_, err = o.do(req.WithContext(ctx))
 	return err
@@ -152,7 +152,7 @@
 	query.Set("max-keys", strconv.Itoa(limit))
 	req, err := o.base.New().Get("/" + o.bucket + "?" + query.Encode()).Request()
 	if err != nil {
-		return nil, oops.In("platform").Wrap(err)
+		return nil, oops.In("tablestore").Wrap(err)
 	}
 	data, err := o.do(req.WithContext(ctx))
 	if err != nil {
@@ -160,7 +160,7 @@
 	}
 	var result ListBucketResult
 	if err := xml.Unmarshal(data, &result); err != nil {
-		return nil, oops.In("platform").Wrap(err)
+		return nil, oops.In("tablestore").Wrap(err)
 	}
 	infos := make([]ObjectInfo, 0, len(result.Contents))
 	for _, content := range result.Contents {
--- a/internal/platform/row.go
+++ b/internal/tablestore/row.go
@@ -1,7 +1,7 @@
-// Package platform is the client of the platform's table service, object store and VM list.
+// Package tablestore is the client of a DynamoDB-protocol table service, an S3-protocol object store and a VM list.
 //
 // The table service is spoken to in DynamoDB's JSON protocol and the object store in S3's REST protocol.
-package platform
+package tablestore
 
 import "time"
 
--- a/internal/platform/sign.go
+++ b/internal/tablestore/sign.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 )
 
 // ErrAccessKey means that the file of the platform's access key can't be used.
-var ErrAccessKey = errors.New("platform: access key file must hold an id and a secret, a line each")
+var ErrAccessKey = errors.New("tablestore: access key file must hold an id and a secret, a line each")
 
 // AccessKey signs requests to the platform.
 type AccessKey struct {
@@ -29,7 +29,7 @@
 func ReadAccessKey(path string) (AccessKey, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return AccessKey{}, oops.In("platform").Wrap(errors.Join(ErrAccessKey, err))
+		return AccessKey{}, oops.In("tablestore").Wrap(errors.Join(ErrAccessKey, err))
 	}
 	lines := strings.Fields(string(data))
 	if len(lines) != 2 {
@@ -93,7 +93,7 @@
 		SecretAccessKey: s.key.Secret,
 	}
 	if err := s.signer.SignHTTP(r.Context(), credentials, signed, hash, string(s.service), s.region, s.now()); err != nil {
-		return nil, oops.In("platform").Wrap(err)
+		return nil, oops.In("tablestore").Wrap(err)
 	}
 	return s.next.RoundTrip(signed)
 }
--- a/internal/platform/table.go
+++ b/internal/tablestore/table.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"context"
@@ -122,7 +122,7 @@
 	defer cancel()
 	req, err := t.base.New().Post("/").Set(TargetHeader, TargetPrefix+operation).BodyJSON(in).Request()
 	if err != nil {
-		return oops.In("platform").Wrap(err)
+		return oops.In("tablestore").Wrap(err)
 	}
 	var failure WireError
 	response, err := t.base.New().Do(req.WithContext(ctx), out, &failure)
@@ -139,12 +139,12 @@
 func transportError(response *http.Response, err error) error {
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
-		return oops.In("platform").Wrap(errors.Join(ErrUnavailable, err))
+		return oops.In("tablestore").Wrap(errors.Join(ErrUnavailable, err))
 	}
 	if response != nil && response.StatusCode == http.StatusServiceUnavailable {
 		return ErrUnavailable
 	}
-	return oops.In("platform").Wrap(errors.Join(ErrUnknown, err))
+	return oops.In("tablestore").Wrap(errors.Join(ErrUnknown, err))
 }
 
 func wireError(status int, failure WireError) error {
@@ -163,7 +163,7 @@
 	case "ThrottlingException", "ProvisionedThroughputExceededException", "RequestLimitExceeded":
 		return ErrUnavailable
 	}
-	return oops.In("platform").With("Type", failure.Type, "Message", failure.Message).Wrap(ErrInvalid)
+	return oops.In("tablestore").With("Type", failure.Type, "Message", failure.Message).Wrap(ErrInvalid)
 }
 
 func canceledError(reasons []CancellationReason) error {
--- a/internal/platform/table_test.go
+++ b/internal/tablestore/table_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -9,24 +9,24 @@
 
 	"gotest.tools/v3/assert"
 
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // newTable returns a client of a table service played by a stand-in.
-func newTable(t *testing.T) (*platform.Table, *standin.Platform) {
+func newTable(t *testing.T) (*tablestore.Table, *standin.Platform) {
 	t.Helper()
 	played := standin.NewPlatform(1, 0)
 	server := httptest.NewServer(played.Handler())
 	t.Cleanup(server.Close)
-	return platform.NewTable(server.Client(), server.URL, "test", nil), played
+	return tablestore.NewTable(server.Client(), server.URL, "test", nil), played
 }
 
-func putRow(sort string, version platform.Version) platform.Txn {
-	return platform.Txn{
-		Writes: []platform.Write{
+func putRow(sort string, version tablestore.Version) tablestore.Txn {
+	return tablestore.Txn{
+		Writes: []tablestore.Write{
 			{
-				Key: platform.Key{
+				Key: tablestore.Key{
 					Partition: "Test",
 					Sort:      sort,
 				},
@@ -40,7 +40,7 @@
 func TestCommitTellsItsThreeFailuresApart(t *testing.T) {
 	cases := map[string]struct {
 		fault   standin.Fault
-		version platform.Version
+		version tablestore.Version
 		want    error
 		applied bool
 	}{
@@ -49,19 +49,19 @@
 		},
 		"conflict": {
 			version: 7,
-			want:    platform.ErrConflict,
+			want:    tablestore.ErrConflict,
 		},
 		"outage": {
 			fault: standin.Fault{
 				Outage: true,
 			},
-			want: platform.ErrUnavailable,
+			want: tablestore.ErrUnavailable,
 		},
 		"answer lost after the effect": {
 			fault: standin.Fault{
 				LoseNext: 1,
 			},
-			want:    platform.ErrUnknown,
+			want:    tablestore.ErrUnknown,
 			applied: true,
 		},
 	}
@@ -80,9 +80,9 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	url := server.URL
 	server.Close()
-	table := platform.NewTable(http.DefaultClient, url, "test", nil)
+	table := tablestore.NewTable(http.DefaultClient, url, "test", nil)
 	err := table.Commit(context.Background(), putRow("a", 0))
-	assert.Assert(t, errors.Is(err, platform.ErrUnavailable), "got %v", err)
+	assert.Assert(t, errors.Is(err, tablestore.ErrUnavailable), "got %v", err)
 }
 
 func TestCommitAppliesAllOrNothing(t *testing.T) {
@@ -92,7 +92,7 @@
 	both := putRow("b", 0)
 	both.Writes = append(both.Writes, putRow("a", 0).Writes...)
 	err := table.Commit(ctx, both)
-	assert.Assert(t, errors.Is(err, platform.ErrConflict), "got %v", err)
+	assert.Assert(t, errors.Is(err, tablestore.ErrConflict), "got %v", err)
 	assert.Equal(t, len(played.Table.Rows("Test")), 1)
 }
 
@@ -101,8 +101,8 @@
 	ctx := context.Background()
 	const rows = 2500
 	for written := 0; written < rows; {
-		txn := platform.Txn{}
-		for ; len(txn.Writes) < platform.MaxWrites && written < rows; written++ {
+		txn := tablestore.Txn{}
+		for ; len(txn.Writes) < tablestore.MaxWrites && written < rows; written++ {
 			txn.Writes = append(txn.Writes, putRow(string(rune('a'+written/100))+string(rune('a'+written%100)), 0).Writes...)
 		}
 		assert.NilError(t, table.Commit(ctx, txn))
--- a/internal/platform/vmlist.go
+++ b/internal/tablestore/vmlist.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"context"
@@ -62,7 +62,7 @@
 	defer cancel()
 	req, err := l.base.New().Get("").Request()
 	if err != nil {
-		return nil, oops.In("platform").Wrap(err)
+		return nil, oops.In("tablestore").Wrap(err)
 	}
 	var vms []VM
 	response, err := l.base.New().Do(req.WithContext(ctx), &vms, nil)
--- /dev/null
+++ b/internal/vm/settings.go
@@ -0,0 +1,84 @@
+package vm
+
+import (
+	"os"
+
+	"github.com/samber/oops"
+
+	"rhubarbrudder/internal/inventory"
+	"rhubarbrudder/internal/jsonc"
+	"rhubarbrudder/internal/pool"
+)
+
+// Settings is the settings file of a VM's process.
+type Settings struct {
+	Name          pool.VMName      `validate:"required"`
+	FailureDomain inventory.Domain `validate:"required"`
+	Listen        Listen
+	Limits        Limits
+	// Seeds are peer addresses of VMs that may run; they help a VM that starts while the store is away.
+	Seeds []string
+	Store StoreSettings
+	Peers PeerSettings
+	Log   LogSettings
+}
+
+// Listen holds the addresses that the process listens on.
+type Listen struct {
+	Callers string `validate:"required,hostname_port"`
+	Ready   string `validate:"required,hostname_port"`
+	Peers   string `validate:"required,hostname_port"`
+	// Metrics is empty if metrics are not served.
+	Metrics string
+}
+
+// Limits are the VM's means.
+type Limits struct {
+	// CoreShare is the part of a core, CoreSpeed that core's speed.
+	CoreShare float64 `validate:"gt=0"`
+	CoreSpeed float64 `validate:"gt=0"`
+	MemoryMB  int64   `validate:"gt=0"`
+}
+
+// StoreSettings says where the store is.
+type StoreSettings struct {
+	Address string `validate:"required,hostname_port"`
+}
+
+// PeerSettings says how the VMs know each other.
+type PeerSettings struct {
+	// Secret authenticates VMs to each other.
+	Secret string `validate:"required"`
+}
+
+// LogSettings says what is logged.
+type LogSettings struct {
+	Level string `validate:"oneof=Debug Info Warn Error"`
+}
+
+// DefaultSettings returns the settings that a file changes.
+func DefaultSettings() Settings {
+	return Settings{
+		Limits: Limits{
+			CoreShare: 1,
+			CoreSpeed: 1,
+			MemoryMB:  256,
+		},
+		Log: LogSettings{
+			Level: "Info",
+		},
+	}
+}
+
+// LoadSettings reads a settings file; the error lists every fault in it.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, oops.In("vm").With("path", path).Wrap(err)
+	}
+	loaded := DefaultSettings()
+	if faults := jsonc.Decode(path, data, &loaded); len(faults) > 0 {
+		return Settings{}, faults
+	}
+	return loaded, nil
+}
--- /dev/null
+++ b/internal/vm/sink.go
@@ -0,0 +1,72 @@
+package vm
+
+import (
+	"rhubarbrudder/internal/inventory"
+	"rhubarbrudder/internal/store"
+	"rhubarbrudder/platform"
+)
+
+// endpointSink passes the list of endpoints on to the inventory.
+type endpointSink struct {
+	process *Process
+}
+
+// Replace takes the whole list.
+func (s endpointSink) Replace(rows []store.Row) {
+	endpoints := make([]inventory.Endpoint, 0, len(rows))
+	for _, row := range rows {
+		if e, ok := s.decode(row); ok {
+			endpoints = append(endpoints, e)
+		}
+	}
+	s.process.inventory.Replace(endpoints)
+}
+
+// Change takes entries that changed.
+func (s endpointSink) Change(rows []store.Row) {
+	for _, row := range rows {
+		id := inventory.ID(row.Address.Key)
+		if row.Deleted {
+			s.process.inventory.Remove(id)
+			continue
+		}
+		if e, ok := s.decode(row); ok {
+			s.process.inventory.Put(e)
+		} else {
+			s.process.inventory.Remove(id)
+		}
+	}
+}
+
+func (s endpointSink) decode(row store.Row) (inventory.Endpoint, bool) {
+	e, ok := platform.DecodeEndpoint(row)
+	if !ok {
+		s.process.log.Warn("endpoint entry not understood", "endpoint", row.Address.Key, "revision", row.Revision)
+	}
+	return e, ok
+}
+
+// configSink puts configurations in force.
+type configSink struct {
+	process *Process
+}
+
+// Replace takes the whole table.
+func (s configSink) Replace(rows []store.Row) {
+	s.Change(rows)
+}
+
+// Change takes rows that changed.
+func (s configSink) Change(rows []store.Row) {
+	for _, row := range rows {
+		if row.Address.Key != platform.KeyConfiguration || row.Deleted {
+			continue
+		}
+		config, err := platform.DecodeConfig(row.Value)
+		if err != nil {
+			s.process.log.Error("configuration not understood", "revision", row.Revision, "err", err)
+			continue
+		}
+		s.process.view.Apply(config)
+	}
+}
--- /dev/null
+++ b/internal/vm/vm.go
@@ -0,0 +1,242 @@
+// Package vm is the process that serves one VM on the users' platform: callers' requests, batch jobs, and the pools that
+// this VM holds for the others.
+package vm
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+	"github.com/samber/oops"
+
+	"rhubarbrudder/internal/batch"
+	"rhubarbrudder/internal/forward"
+	"rhubarbrudder/internal/inventory"
+	"rhubarbrudder/internal/peer"
+	"rhubarbrudder/internal/pool"
+	"rhubarbrudder/internal/roster"
+	"rhubarbrudder/internal/route"
+	"rhubarbrudder/internal/store"
+	"rhubarbrudder/platform"
+)
+
+const (
+	// drainLeast is how long a VM that stops goes on serving: the balancer asks every second and takes a VM out after
+	// two answers that it is not ready.
+	drainLeast = 2500 * time.Millisecond
+	// drainMost is how long it goes on at most, inside the 8 s after which it is killed.
+	drainMost = 7300 * time.Millisecond
+	// drainPoll is how often it looks whether all is answered.
+	drainPoll = 50 * time.Millisecond
+	// handTime bounds the handing over of batch jobs.
+	handTime = 2 * time.Second
+	// maxHeaderBytes bounds headers before the configuration's own bound is looked at.
+	maxHeaderBytes = 64 << 10
+	// headerTime and idleTime bound a caller's headers and an idle connection; callers reuse connections that were
+	// idle for less than the operators' bound, which is shorter.
+	headerTime = 10 * time.Second
+	idleTime   = 60 * time.Second
+	// storeConnections is how many connections to the store are kept.
+	storeConnections = 8
+)
+
+// Process is a VM's process.
+type Process struct {
+	settings  Settings
+	log       *slog.Logger
+	store     store.Store
+	view      *route.View
+	inventory *inventory.Inventory
+	roster    *roster.Roster
+	stewards  *pool.Stewards
+	pools     *pools
+	keeper    *batch.Keeper
+	warden    *batch.Warden
+	front     *front
+	peers     *peer.Server
+	endpoints *store.Follower
+	operator  *store.Follower
+	members   *store.Follower
+	life      context.Context
+	end       context.CancelFunc
+}
+
+// New returns a process that has not started.
+func New(s Settings, log *slog.Logger) (*Process, error) {
+	life, end := context.WithCancel(context.Background())
+	p := &Process{
+		settings: s,
+		log:      log,
+		life:     life,
+		end:      end,
+		view:     route.NewView(log),
+		store: platform.NewStore(&http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: storeConnections,
+				IdleConnTimeout:     idleTime,
+				DisableCompression:  true,
+			},
+		}, s.Store.Address),
+	}
+	self := roster.VM{
+		Name:        s.Name,
+		Incarnation: roster.Incarnation(uuid.NewString()),
+		Address:     s.Listen.Peers,
+		Cores:       s.Limits.CoreShare * s.Limits.CoreSpeed,
+	}
+	p.roster = roster.New(self, log)
+	p.inventory = inventory.New(func() time.Duration {
+		return p.endpoints.SinceLoss()
+	}, func() {
+		p.stewards.EndpointsChanged()
+	}, log)
+	p.stewards = pool.NewStewards(p.inventory, log)
+	p.endpoints = store.NewFollower(p.store, platform.TableEndpoints, endpointSink{process: p}, log)
+	p.operator = store.NewFollower(p.store, platform.TableOperator, configSink{process: p}, log)
+	p.members = store.NewFollower(p.store, roster.Table, p.roster, log)
+	secret := peer.Secret(s.Peers.Secret)
+	caller := peer.NewPool(secret)
+	p.pools = &pools{
+		self: pool.Member{
+			VM:      self.Name,
+			Address: self.Address,
+		},
+		domain:  s.FailureDomain,
+		roster:  p.roster,
+		caller:  caller,
+		local:   p.stewards,
+		log:     log,
+		life:    life,
+		clients: map[route.Service]*pool.Client{},
+	}
+	sender := forward.NewSender(platform.Headers{})
+	p.keeper = batch.NewKeeper(life, self, p.store, p.view, p.pools, p.inventory, sender, log)
+	p.warden = batch.NewWarden(p.keeper, p.roster, caller, p.pools.Holds, log)
+	p.front = &front{
+		view:      p.view,
+		forwarder: forward.New(p.pools, p.inventory, sender, platform.Headers{}, log),
+		keeper:    p.keeper,
+		log:       log,
+	}
+	p.peers = peer.NewServer(secret, log)
+	err := errors.Join(p.peers.Register(pool.ServiceName, p.stewards), p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)))
+	return p, oops.In("vm").Wrap(err)
+}
+
+// Run serves until ctx ends, and then until what was begun is answered.
+func (p *Process) Run(ctx context.Context) error {
+	defer p.end()
+	var group run.Group
+	callers := &http.Server{
+		Handler:           p.front,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+	}
+	ready := &http.Server{
+		Handler:           http.HandlerFunc(p.serveReady),
+		ReadHeaderTimeout: headerTime,
+	}
+	for _, each := range []struct {
+		address string
+		serve   func(net.Listener) error
+		stop    func()
+	}{
+		{
+			address: p.settings.Listen.Callers,
+			serve:   callers.Serve,
+			stop: func() {
+				_ = callers.Close()
+			},
+		},
+		{
+			address: p.settings.Listen.Ready,
+			serve:   ready.Serve,
+			stop: func() {
+				_ = ready.Close()
+			},
+		},
+		{
+			address: p.settings.Listen.Peers,
+			serve:   p.peers.Serve,
+			stop:    p.peers.Close,
+		},
+	} {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return oops.In("vm").With("address", each.address).Wrap(err)
+		}
+		group.Add(func() error {
+			return each.serve(listener)
+		}, func(error) {
+			_ = listener.Close()
+			each.stop()
+		})
+	}
+	p.follow(&group)
+	group.Add(func() error {
+		<-ctx.Done()
+		p.drain()
+		return nil
+	}, func(error) {
+		p.end()
+	})
+	p.log.Info("started", "vm", p.settings.Name, "incarnation", p.keeper.Incarnation(), "failure_domain", p.settings.FailureDomain, "callers", p.settings.Listen.Callers)
+	err := group.Run()
+	p.log.Info("stopped", "vm", p.settings.Name, "err", err)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// follow adds what keeps this VM up to date.
+func (p *Process) follow(group *run.Group) {
+	for _, work := range []func(context.Context){
+		p.operator.Run,
+		p.endpoints.Run,
+		p.members.Run,
+		p.warden.Run,
+		func(ctx context.Context) {
+			p.roster.Enter(ctx, p.store)
+			<-ctx.Done()
+		},
+	} {
+		ctx, cancel := context.WithCancel(p.life)
+		group.Add(func() error {
+			work(ctx)
+			return nil
+		}, func(error) {
+			cancel()
+		})
+	}
+}
+
+// drain stops taking new work and waits until what was begun is answered.
+func (p *Process) drain() {
+	begun := time.Now()
+	p.log.Info("draining", "active", p.front.active.Load())
+	p.front.draining.Store(true)
+	p.stewards.Retire()
+	hand, cancel := context.WithTimeout(p.life, handTime)
+	p.warden.HandOver(hand, p.keeper.Retire())
+	cancel()
+	for time.Since(begun) < drainLeast || p.front.active.Load() > 0 && time.Since(begun) < drainMost {
+		time.Sleep(drainPoll)
+	}
+	p.log.Info("drained", "active", p.front.active.Load(), "took_ms", time.Since(begun).Milliseconds())
+}
+
+// serveReady answers the balancer.
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if p.front.draining.Load() || p.view.Current() == nil || !p.inventory.Loaded() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/vmcli/vmcli.go
@@ -0,0 +1,65 @@
+// Package vmcli is the command line of a VM's process.
+package vmcli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbrudder/internal/telemetry"
+	"rhubarbrudder/internal/vm"
+)
+
+const (
+	// settingsVariable holds the path of the settings file.
+	settingsVariable = "RHUBARBRUDDER_CONFIG"
+	// collectPercent is how much the heap grows between collections; the heap is a few megabytes, so that a small
+	// percentage saves memory at little processor time.
+	collectPercent = 50
+	// memoryShare is the part of the VM's memory at which the collector works harder.
+	memoryShare = 0.7
+)
+
+// Main runs the command line and returns the exit code.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	var path string
+	root := &cobra.Command{
+		Use:           "rhubarbrudder-vm",
+		Short:         "Serve one VM on the users' platform",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd.Context(), path)
+		},
+	}
+	root.Flags().StringVar(&path, "settings", os.Getenv(settingsVariable), "settings file (by default from "+settingsVariable+")")
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "Error:", err)
+		return 1
+	}
+	return 0
+}
+
+func serve(ctx context.Context, path string) error {
+	settings, err := vm.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB<<20)))
+	log := telemetry.NewLogger(os.Stdout, settings.Log.Level)
+	process, err := vm.New(settings, log)
+	if err != nil {
+		return err
+	}
+	return process.Run(ctx)
+}
--- a/test/batch_check_test.go
+++ b/test/batch_check_test.go
@@ -11,9 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/job"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/request"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // batchCheck judges a job by the stand-ins' records alone.
@@ -47,7 +47,7 @@
 	for _, row := range b.c.platform.Table.Rows("Lot/" + string(b.id)) {
 		var lot job.Lot
 		assert.NilError(t, json.Unmarshal(row.Data, &lot))
-		for _, name := range []platform.ObjectName{lot.Results, lot.Errors} {
+		for _, name := range []tablestore.ObjectName{lot.Results, lot.Errors} {
 			if name == "" {
 				continue
 			}
--- a/test/batch_fault_test.go
+++ b/test/batch_fault_test.go
@@ -15,8 +15,8 @@
 	"rhubarbrudder/internal/fleet"
 	"rhubarbrudder/internal/job"
 	"rhubarbrudder/internal/lease"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // batchCluster returns the options of a cluster whose lots are small and whose items take about 200 ms.
@@ -53,14 +53,14 @@
 }
 
 // heldBy returns the sessions of the lots that a VM's dispatcher holds, by the rows' keys.
-func (c *cluster) heldBy(vm int) map[platform.Key]lease.SessionID {
+func (c *cluster) heldBy(vm int) map[tablestore.Key]lease.SessionID {
 	own := map[lease.SessionID]bool{}
 	for _, row := range c.platform.Table.Rows("Session") {
 		if gjson.GetBytes(row.Data, "Holder").String() == fmt.Sprintf("vm-%d", vm) {
 			own[lease.SessionID(row.Key.Sort)] = true
 		}
 	}
-	held := map[platform.Key]lease.SessionID{}
+	held := map[tablestore.Key]lease.SessionID{}
 	for _, row := range c.platform.Table.Rows("Lot/") {
 		var lot job.Lot
 		if json.Unmarshal(row.Data, &lot) == nil && lot.State == job.LotClaimed && own[lot.Session] {
@@ -85,7 +85,7 @@
 }
 
 // waitTakeover waits until another dispatcher claimed one of the lots that a stopped dispatcher held.
-func (c *cluster) waitTakeover(held map[platform.Key]lease.SessionID) {
+func (c *cluster) waitTakeover(held map[tablestore.Key]lease.SessionID) {
 	c.t.Helper()
 	assert.Assert(c.t, len(held) > 0, "the dispatcher held nothing when it was stopped")
 	waitFor(c.t, "a lot to be taken over", readyTimeout, func() bool {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -22,9 +22,9 @@
 
 	"rhubarbrudder/internal/document"
 	"rhubarbrudder/internal/fleet"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/settings"
 	"rhubarbrudder/internal/standin"
+	"rhubarbrudder/internal/tablestore"
 )
 
 const (
@@ -190,19 +190,19 @@
 	c.platform.VMs.Set(c.vmList())
 }
 
-func (c *cluster) vmList() []platform.VM {
-	domains := []platform.FailureDomain{"garmisch", "berchtesgaden", "oberstdorf"}
-	var vms []platform.VM
+func (c *cluster) vmList() []tablestore.VM {
+	domains := []tablestore.FailureDomain{"garmisch", "berchtesgaden", "oberstdorf"}
+	var vms []tablestore.VM
 	add := func(name, service string, host, i int) {
-		vms = append(vms, platform.VM{
-			Name:          platform.VMName(fmt.Sprintf("%s-%d", name, i)),
+		vms = append(vms, tablestore.VM{
+			Name:          tablestore.VMName(fmt.Sprintf("%s-%d", name, i)),
 			Incarnation:   "1",
 			Address:       c.ip(host),
 			Port:          8000,
 			Region:        "bayern-sued",
 			FailureDomain: domains[i%len(domains)],
 			Service:       service,
-			State:         platform.VMLive,
+			State:         tablestore.VMLive,
 			ChecksFence:   c.options.engine.ChecksFence,
 		})
 	}
@@ -312,8 +312,8 @@
 func (c *cluster) documentStore() *document.Store {
 	url := "http://" + c.address(1, 7000)
 	return document.NewStore(
-		platform.NewTable(http.DefaultClient, url, "rhubarbrudder", nil),
-		platform.NewObjects(http.DefaultClient, url, "objects", nil),
+		tablestore.NewTable(http.DefaultClient, url, "rhubarbrudder", nil),
+		tablestore.NewObjects(http.DefaultClient, url, "objects", nil),
 	)
 }
 
--- a/test/steward_leaving_test.go
+++ b/test/steward_leaving_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/fleet"
-	"rhubarbrudder/internal/platform"
 	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/tablestore"
 )
 
 // leavingPromise is how soon after any gateway hears that an endpoint leaves nothing new may reach it.
@@ -65,7 +65,7 @@
 	vms := c.vmList()
 	for i := range vms {
 		if vms[i].Name == "engine-0" {
-			vms[i].State = platform.VMLeaving
+			vms[i].State = tablestore.VMLeaving
 		}
 	}
 	c.platform.VMs.Set(vms)
@@ -100,7 +100,7 @@
 	vms := c.vmList()
 	for i := range vms {
 		if vms[i].Name == "engine-0" {
-			vms[i].State = platform.VMLeaving
+			vms[i].State = tablestore.VMLeaving
 		}
 	}
 	c.platform.VMs.Set(vms)
