--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -221,12 +221,12 @@
 	defer func() {
 		_ = response.Body.Close()
 	}()
-	switch {
-	case response.StatusCode == http.StatusOK:
+	switch response.StatusCode {
+	case http.StatusOK:
 		return causeOf(ctx, j.take(watch, response, progress))
-	case response.StatusCode == http.StatusUnprocessableEntity:
+	case http.StatusUnprocessableEntity:
 		return errImpossible
-	case response.StatusCode == http.StatusInternalServerError:
+	case http.StatusInternalServerError:
 		progress.Failures++
 		return errFailed
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,7 +21,9 @@
 type Class int
 
 const (
+	// ClassOnline is for callers that wait.
 	ClassOnline Class = iota
+	// ClassBatch is for items of batch jobs.
 	ClassBatch
 )
 
@@ -42,6 +44,19 @@
 	Domain inventory.Domain
 }
 
+// key tells tickets apart: two VMs may ask for the same request, as when a job changes its owner.
+type key struct {
+	vm VMName
+	id TicketID
+}
+
+func (t Ticket) key() key {
+	return key{
+		vm: t.VM,
+		id: t.ID,
+	}
+}
+
 // run is a ticket that holds a slot.
 type run struct {
 	ticket   Ticket
@@ -51,7 +66,7 @@
 	revoked time.Time
 }
 
-// Kind of an Outcome.
+// OutcomeKind is what an outcome decides.
 type OutcomeKind int
 
 const (
@@ -77,6 +92,7 @@
 type Trouble int
 
 const (
+	// TroubleNone means that all was well.
 	TroubleNone Trouble = iota
 	// TroubleUnreachable means that no connection could be made.
 	TroubleUnreachable
@@ -116,8 +132,8 @@
 	order     []*endpoint
 	online    []Ticket
 	batch     []Ticket
-	waiting   map[TicketID]Class
-	runs      map[TicketID]*run
+	waiting   map[key]Class
+	runs      map[key]*run
 	outcomes  []Outcome
 	turn      int
 }
@@ -126,8 +142,8 @@
 func New() *Pool {
 	return &Pool{
 		endpoints: map[inventory.ID]*endpoint{},
-		waiting:   map[TicketID]Class{},
-		runs:      map[TicketID]*run{},
+		waiting:   map[key]Class{},
+		runs:      map[key]*run{},
 	}
 }
 
@@ -171,10 +187,10 @@
 
 // Ask adds a ticket; one that is known already is left as it is.
 func (p *Pool) Ask(t Ticket) {
-	if _, waits := p.waiting[t.ID]; waits || p.runs[t.ID] != nil {
+	if _, waits := p.waiting[t.key()]; waits || p.runs[t.key()] != nil {
 		return
 	}
-	p.waiting[t.ID] = t.Class
+	p.waiting[t.key()] = t.Class
 	queue := p.queue(t.Class)
 	at, _ := slices.BinarySearchFunc(*queue, t, compareTickets)
 	*queue = slices.Insert(*queue, at, t)
@@ -182,11 +198,11 @@
 
 // Hold takes a run that a VM had before this pool knew of it.
 func (p *Pool) Hold(t Ticket, at inventory.ID, now time.Time) {
-	p.Withdraw(t.ID)
-	if p.runs[t.ID] != nil {
+	p.Withdraw(t.VM, t.ID)
+	if p.runs[t.key()] != nil {
 		return
 	}
-	p.runs[t.ID] = &run{
+	p.runs[t.key()] = &run{
 		ticket:   t,
 		endpoint: at,
 		since:    now,
@@ -197,26 +213,34 @@
 }
 
 // Withdraw forgets a ticket that waits.
-func (p *Pool) Withdraw(id TicketID) {
-	class, waits := p.waiting[id]
+func (p *Pool) Withdraw(vm VMName, id TicketID) {
+	k := key{
+		vm: vm,
+		id: id,
+	}
+	class, waits := p.waiting[k]
 	if !waits {
 		return
 	}
-	delete(p.waiting, id)
+	delete(p.waiting, k)
 	queue := p.queue(class)
 	*queue = slices.DeleteFunc(*queue, func(t Ticket) bool {
-		return t.ID == id
+		return t.key() == k
 	})
 }
 
 // Release frees the slot of a run, with what its VM saw of the endpoint.
-func (p *Pool) Release(id TicketID, trouble Trouble, now time.Time) {
-	p.Withdraw(id)
-	r := p.runs[id]
+func (p *Pool) Release(vm VMName, id TicketID, trouble Trouble, now time.Time) {
+	p.Withdraw(vm, id)
+	k := key{
+		vm: vm,
+		id: id,
+	}
+	r := p.runs[k]
 	if r == nil {
 		return
 	}
-	delete(p.runs, id)
+	delete(p.runs, k)
 	e := p.endpoints[r.endpoint]
 	if e == nil {
 		return
@@ -229,9 +253,9 @@
 
 // Forget drops all tickets and runs of a VM.
 func (p *Pool) Forget(vm VMName, now time.Time) {
-	for id, r := range p.runs {
-		if r.ticket.VM == vm {
-			p.Release(id, TroubleNone, now)
+	for k := range p.runs {
+		if k.vm == vm {
+			p.Release(vm, k.id, TroubleNone, now)
 		}
 	}
 	for _, class := range []Class{ClassOnline, ClassBatch} {
@@ -240,7 +264,7 @@
 			if t.VM != vm {
 				return false
 			}
-			delete(p.waiting, t.ID)
+			delete(p.waiting, t.key())
 			return true
 		})
 	}
@@ -278,6 +302,7 @@
 		cmp.Compare(a.Rank, b.Rank),
 		a.Start.Compare(b.Start),
 		cmp.Compare(a.ID, b.ID),
+		cmp.Compare(a.VM, b.VM),
 	)
 }
 
@@ -288,7 +313,7 @@
 			if now.Before(t.Expires) {
 				return false
 			}
-			delete(p.waiting, t.ID)
+			delete(p.waiting, t.key())
 			p.outcomes = append(p.outcomes, Outcome{
 				Kind:       OutcomeRefuse,
 				VM:         t.VM,
@@ -339,9 +364,9 @@
 }
 
 func (p *Pool) grant(t Ticket, e *endpoint, now time.Time) {
-	delete(p.waiting, t.ID)
+	delete(p.waiting, t.key())
 	e.running++
-	p.runs[t.ID] = &run{
+	p.runs[t.key()] = &run{
 		ticket:   t,
 		endpoint: e.ID,
 		since:    now,
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,199 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/inventory"
+)
+
+func endpoints(slots int, ids ...inventory.ID) []inventory.Endpoint {
+	list := make([]inventory.Endpoint, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, inventory.Endpoint{
+			ID:    id,
+			Slots: slots,
+		})
+	}
+	return list
+}
+
+func ticket(vm VMName, id TicketID, class Class, now time.Time, start time.Duration) Ticket {
+	return Ticket{
+		ID:      id,
+		VM:      vm,
+		Class:   class,
+		Start:   now.Add(start),
+		Expires: now.Add(start + time.Second),
+	}
+}
+
+// TestSameTicketOfTwoVMs plays a job that changes its owner: the new owner asks for an item for which the old one still
+// holds a slot or waits. An earlier version dropped the second ticket for good (lww-beaconhost scale-2, seed of the
+// standard day: item left lying).
+func TestSameTicketOfTwoVMs(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.SetEndpoints(endpoints(2, "a"))
+	p.Ask(ticket("old", "job/item.0", ClassBatch, now, time.Second))
+	assert.Equal(t, len(p.Decide(now)), 1)
+	p.Ask(ticket("new", "job/item.0", ClassBatch, now, time.Second))
+	outcomes := p.Decide(now)
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].VM, VMName("new"))
+	p.Forget("old", now)
+	_, _, running := p.Counts()
+	assert.Equal(t, running, 1)
+}
+
+func TestOnlineTakesSlotOfBatch(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.SetEndpoints(endpoints(1, "a"))
+	p.Ask(ticket("v", "batch", ClassBatch, now, time.Second))
+	p.Decide(now)
+	p.Ask(ticket("v", "online", ClassOnline, now, 200*time.Millisecond))
+	outcomes := p.Decide(now)
+	assert.Equal(t, len(outcomes), 2)
+	assert.Equal(t, outcomes[0].Kind, OutcomeRevoke)
+	assert.Equal(t, outcomes[0].Ticket, TicketID("batch"))
+	assert.Equal(t, outcomes[1].Kind, OutcomeGrant)
+	assert.Equal(t, outcomes[1].Endpoint, inventory.ID("a"))
+	// The revoked run occupies nothing: its return frees no second slot.
+	p.Release("v", "batch", TroubleNone, now)
+	p.Ask(ticket("v", "batch.1", ClassBatch, now, time.Second))
+	assert.Equal(t, len(p.Decide(now)), 0)
+	p.Release("v", "online", TroubleNone, now)
+	outcomes = p.Decide(now)
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Ticket, TicketID("batch.1"))
+}
+
+func TestGrants(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		endpoints []inventory.Endpoint
+		tickets   []Ticket
+		want      map[TicketID]inventory.ID
+	}{
+		"one slot goes to who must start first": {
+			endpoints: endpoints(1, "a"),
+			tickets: []Ticket{
+				ticket("v", "late", ClassOnline, now, 300*time.Millisecond),
+				ticket("w", "soon", ClassOnline, now, 100*time.Millisecond),
+			},
+			want: map[TicketID]inventory.ID{"soon": "a"},
+		},
+		"batch goes by its latest start": {
+			endpoints: endpoints(1, "a"),
+			tickets: []Ticket{
+				ticket("v", "slack", ClassBatch, now, 10*time.Second),
+				ticket("v", "tight", ClassBatch, now, time.Second),
+			},
+			want: map[TicketID]inventory.ID{"tight": "a"},
+		},
+		"an endpoint that leaves gets nothing": {
+			endpoints: []inventory.Endpoint{
+				{
+					ID:      "a",
+					Slots:   8,
+					Leaving: true,
+				},
+			},
+			tickets: []Ticket{ticket("v", "one", ClassOnline, now, time.Second)},
+			want:    map[TicketID]inventory.ID{},
+		},
+		"an endpoint that failed before is avoided": {
+			endpoints: endpoints(8, "a", "b"),
+			tickets: []Ticket{
+				{
+					ID:      "one",
+					VM:      "v",
+					Start:   now,
+					Expires: now.Add(time.Second),
+					Avoid:   []inventory.ID{"a"},
+				},
+			},
+			want: map[TicketID]inventory.ID{"one": "b"},
+		},
+		"nothing free, nobody waits for it in vain": {
+			endpoints: nil,
+			tickets:   []Ticket{ticket("v", "one", ClassOnline, now, time.Second)},
+			want:      map[TicketID]inventory.ID{},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := New()
+			p.SetEndpoints(test.endpoints)
+			for _, each := range test.tickets {
+				p.Ask(each)
+			}
+			got := map[TicketID]inventory.ID{}
+			for _, outcome := range p.Decide(now) {
+				assert.Equal(t, outcome.Kind, OutcomeGrant)
+				got[outcome.Ticket] = outcome.Endpoint
+			}
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+func TestLoadIsSpread(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.SetEndpoints(endpoints(4, "a", "b", "c"))
+	for _, id := range []TicketID{"1", "2", "3", "4", "5", "6"} {
+		p.Ask(ticket("v", id, ClassOnline, now, time.Second))
+	}
+	count := map[inventory.ID]int{}
+	for _, outcome := range p.Decide(now) {
+		count[outcome.Endpoint]++
+	}
+	assert.DeepEqual(t, count, map[inventory.ID]int{"a": 2, "b": 2, "c": 2})
+}
+
+func TestRefusedWhenTimeIsUp(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.Ask(ticket("v", "one", ClassOnline, now, 100*time.Millisecond))
+	assert.Equal(t, len(p.Decide(now)), 0)
+	outcomes := p.Decide(now.Add(2 * time.Second))
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Kind, OutcomeRefuse)
+	assert.Assert(t, outcomes[0].RetryAfter > 0)
+	assert.Assert(t, p.Idle())
+}
+
+// TestTroubledEndpoint checks that an endpoint that can't be reached gets one request at a time until one succeeds.
+func TestTroubledEndpoint(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.SetEndpoints(endpoints(8, "a"))
+	p.Ask(ticket("v", "one", ClassOnline, now, time.Second))
+	p.Decide(now)
+	p.Release("v", "one", TroubleUnreachable, now)
+	p.Ask(ticket("v", "two", ClassOnline, now, time.Minute))
+	p.Ask(ticket("v", "three", ClassOnline, now, time.Minute))
+	assert.Equal(t, len(p.Decide(now)), 0)
+	now = now.Add(restUnreachable)
+	assert.Equal(t, len(p.Decide(now)), 1)
+	p.Release("v", "two", TroubleNone, now)
+	p.Release("v", "three", TroubleNone, now)
+	p.Ask(ticket("v", "four", ClassOnline, now, time.Minute))
+	p.Ask(ticket("v", "five", ClassOnline, now, time.Minute))
+	assert.Equal(t, len(p.Decide(now)), 2)
+}
+
+func TestHeldRunsCount(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.SetEndpoints(endpoints(1, "a"))
+	p.Hold(ticket("v", "one", ClassOnline, now, time.Second), "a", now)
+	p.Ask(ticket("w", "two", ClassOnline, now, time.Second))
+	assert.Equal(t, len(p.Decide(now)), 0)
+	p.Forget("v", now)
+	assert.Equal(t, len(p.Decide(now)), 1)
+}
--- a/internal/pool/steward.go
+++ b/internal/pool/steward.go
@@ -163,10 +163,10 @@
 	}
 	from.seen = now
 	for _, returned := range args.Returned {
-		st.pool.Release(returned.ID, returned.Trouble, now)
+		st.pool.Release(args.From.VM, returned.ID, returned.Trouble, now)
 	}
 	for _, id := range args.Withdrawn {
-		st.pool.Release(id, TroubleNone, now)
+		st.pool.Release(args.From.VM, id, TroubleNone, now)
 	}
 	for _, held := range args.Held {
 		st.pool.Hold(held.Ask.ticket(args, now), held.Endpoint, now)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -22,11 +22,13 @@
 	ErrHistoryGone = errors.New("store: history gone")
 )
 
-// Table, Part and Key locate a row; the rows of a part are ordered by key.
 type (
+	// Table names a table; a table's rows lie in parts.
 	Table string
-	Part  string
-	Key   string
+	// Part names a part of a table; its rows are ordered by key.
+	Part string
+	// Key names a row of a part.
+	Key string
 )
 
 // Revision orders the transactions of the store; zero stands for a row that does not exist.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -223,15 +223,25 @@
 	p.log.Info("draining", "active", p.front.active.Load())
 	p.front.draining.Store(true)
 	p.stewards.Retire()
-	hand, cancel := context.WithTimeout(p.life, handTime)
-	p.warden.HandOver(hand, p.keeper.Retire())
-	cancel()
 	for time.Since(begun) < drainLeast || p.front.active.Load() > 0 && time.Since(begun) < drainMost {
+		p.handOver()
 		time.Sleep(drainPoll)
 	}
+	p.handOver()
 	p.log.Info("drained", "active", p.front.active.Load(), "took_ms", time.Since(begun).Milliseconds())
 }
 
+// handOver gives the batch jobs that this VM owns to others; jobs may still be accepted while callers are answered.
+func (p *Process) handOver() {
+	handed := p.keeper.Retire()
+	if len(handed) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.life, handTime)
+	defer cancel()
+	p.warden.HandOver(ctx, handed)
+}
+
 // serveReady answers the balancer.
 func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if p.front.draining.Load() || p.view.Current() == nil || !p.inventory.Loaded() {
