VMs that can't reach the store learn from peers and call it through them

Change: tables are offered between peers by revision, calls are relayed, grants carry the address, VMs younger than 3 s hold a pool last, claims are checked beside the work instead of before each item.

--- a/internal/batch/keeper.go
+++ b/internal/batch/keeper.go
@@ -24,13 +24,14 @@
 	// longestTimeout bounds an attempt.
 	longestTimeout = 2 * time.Second
 	// acceptTime is how long acceptance of a job is tried, well inside what callers of batch routes wait.
-	acceptTime = 2500 * time.Millisecond
+	acceptTime = 3300 * time.Millisecond
 	// readTimeout bounds a read for a caller.
 	readTimeout = 1500 * time.Millisecond
 	// pauseLeast separates attempts at a store that turned a call away.
 	pauseLeast = 100 * time.Millisecond
-	// claimFresh is how old the knowledge that a job is not ended may be when one of its items is sent.
-	claimFresh = 1500 * time.Millisecond
+	// checkPeriod is how often it is looked whether a job was ended, well inside the time within which its items
+	// must not be sent any more.
+	checkPeriod = time.Second
 	// tight is the share of the token cap above which acceptances are put in sequence, so that those that
 	// do not see each other can't pass the cap together.
 	tight = 0.5
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -83,6 +83,9 @@
 			j.runItem(ctx, item)
 		})
 	}
+	items.Go(func() {
+		j.watch(ctx)
+	})
 	j.commitAll(ctx, listed)
 	j.cancel(nil)
 	items.Wait()
@@ -188,7 +191,7 @@
 		slot.Release(forward.Trouble(err))
 	}
 	if err != nil && !errors.Is(err, errImpossible) {
-		*avoid = append(*avoid, slot.Endpoint)
+		*avoid = append(*avoid, slot.Endpoint.ID)
 		if len(*avoid) > unavoid {
 			*avoid = (*avoid)[1:]
 		}
@@ -198,11 +201,7 @@
 
 // send sends the item to the slot's endpoint and takes its events.
 func (j *job) send(ctx context.Context, slot *pool.Slot, item *Item, progress *Progress) error {
-	if err := j.check(ctx); err != nil {
-		return err
-	}
-	to, err := forward.Find(j.keeper.inventory, slot.Endpoint)
-	if err != nil {
+	if err := forward.Check(j.keeper.inventory, slot.Endpoint); err != nil {
 		return err
 	}
 	ctx, watch := forward.NewWatch(ctx, stallItem)
@@ -211,7 +210,7 @@
 		watch.Cancel(errRevoked)
 	})
 	defer stop()
-	response, err := j.keeper.sender.Open(ctx, to, j.call(item), forward.Send{
+	response, err := j.keeper.sender.Open(ctx, slot.Endpoint, j.call(item), forward.Send{
 		After:   progress.After,
 		Resumes: progress.Events > 0,
 	})
@@ -299,28 +298,32 @@
 	}
 }
 
-// check makes sure that the job was not ended or lost a short while ago. A store that is away does not hold up the work:
-// its results are committed only if the claim still holds.
-func (j *job) check(ctx context.Context) error {
-	j.mu.Lock()
-	fresh := time.Since(j.checked) < claimFresh
-	j.mu.Unlock()
-	if fresh {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
-	defer cancel()
-	c, revision, err := j.keeper.ledger.claim(ctx, j.id)
-	if err != nil {
-		j.keeper.log.Warn("claim not checked", "job", j.id, "err", err)
-		return nil
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if revision == 0 || c.Owner != j.claim.Owner || c.Incarnation != j.claim.Incarnation || c.Number != j.claim.Number {
-		j.cancel(errLost)
-		return errLost
+// watch looks again and again whether the job was ended or lost. A store that is away does not hold up the work: results
+// are committed only if the claim still holds.
+func (j *job) watch(ctx context.Context) {
+	for sleep(ctx, checkPeriod) {
+		j.mu.Lock()
+		fresh := time.Since(j.checked) < checkPeriod
+		j.mu.Unlock()
+		if fresh {
+			continue
+		}
+		read, cancel := context.WithTimeout(ctx, readTimeout)
+		c, revision, err := j.keeper.ledger.claim(read, j.id)
+		cancel()
+		if err != nil {
+			j.keeper.log.Info("claim not checked", "job", j.id, "err", err)
+			continue
+		}
+		j.mu.Lock()
+		lost := revision == 0 || c.Owner != j.claim.Owner || c.Incarnation != j.claim.Incarnation || c.Number != j.claim.Number
+		if !lost {
+			j.checked = time.Now()
+		}
+		j.mu.Unlock()
+		if lost {
+			j.keeper.log.Info("job lost", "job", j.id, "owner", c.Owner, "claim", c.Number, "revision", revision)
+			j.cancel(errLost)
+		}
 	}
-	j.checked = time.Now()
-	return nil
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -136,11 +136,11 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		s.log.Info("attempt failed", "id", s.meta.ID, "endpoint", slot.Endpoint, "sends", s.sends, "runs", s.runs, "events", s.events, "err", err)
+		s.log.Info("attempt failed", "id", s.meta.ID, "endpoint", slot.Endpoint.ID, "sends", s.sends, "runs", s.runs, "events", s.events, "err", err)
 		if !s.mayRetry(err) {
 			return err
 		}
-		s.avoid = append(s.avoid, slot.Endpoint)
+		s.avoid = append(s.avoid, slot.Endpoint.ID)
 	}
 }
 
@@ -177,9 +177,8 @@
 // attempt sends the request to the slot's endpoint and passes the answer on.
 func (s *serving) attempt(ctx context.Context, slot *pool.Slot) error {
 	s.sends++
-	s.at = slot.Endpoint
-	to, err := Find(s.inventory, slot.Endpoint)
-	if err != nil {
+	s.at = slot.Endpoint.ID
+	if err := Check(s.inventory, slot.Endpoint); err != nil {
 		return err
 	}
 	first := time.Until(s.until)
@@ -195,7 +194,7 @@
 		send.After = s.meta.After
 		send.Resumes = true
 	}
-	response, err := s.sender.Open(ctx, to, s.call, send)
+	response, err := s.sender.Open(ctx, slot.Endpoint, s.call, send)
 	if err != nil {
 		if !NotRun(err) {
 			s.runs++
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -25,8 +25,6 @@
 	ErrNotRun = errors.New("forward: not run")
 	// ErrLeaving means that the request was not sent because the endpoint takes no new work.
 	ErrLeaving = errors.New("forward: endpoint leaves")
-	// ErrUnlisted means that the request was not sent because this VM does not know the endpoint yet.
-	ErrUnlisted = errors.New("forward: endpoint unlisted")
 	// ErrStalled means that the endpoint sent nothing for too long.
 	ErrStalled = errors.New("forward: stalled")
 )
@@ -128,16 +126,12 @@
 	}
 }
 
-// Find returns the endpoint if it may be sent work.
-func Find(list Inventory, id inventory.ID) (inventory.Endpoint, error) {
-	to, known := list.Get(id)
-	if !known {
-		return to, ErrUnlisted
+// Check returns ErrLeaving if an endpoint that was granted takes no new work as far as this VM knows.
+func Check(list Inventory, granted inventory.Endpoint) error {
+	if known, is := list.Get(granted.ID); is && known.Leaving {
+		return ErrLeaving
 	}
-	if to.Leaving {
-		return to, ErrLeaving
-	}
-	return to, nil
+	return nil
 }
 
 // Open sends the call to the endpoint and returns the answer's beginning; the caller closes its body. Cancelling ctx
@@ -198,7 +192,7 @@
 // Trouble returns what an error of a sending says about the endpoint.
 func Trouble(err error) pool.Trouble {
 	switch {
-	case err == nil, errors.Is(err, ErrUnlisted):
+	case err == nil:
 		return pool.TroubleNone
 	case errors.Is(err, ErrLeaving):
 		return pool.TroubleLeaving
@@ -212,7 +206,7 @@
 
 // NotRun says whether an error means that the request did not run.
 func NotRun(err error) bool {
-	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrNotRun) || errors.Is(err, ErrLeaving) || errors.Is(err, ErrUnlisted)
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrNotRun) || errors.Is(err, ErrLeaving)
 }
 
 // Watch cancels a sending that stalls.
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -64,7 +64,8 @@
 
 // Slot is a right to run one request at an endpoint.
 type Slot struct {
-	Endpoint inventory.ID
+	// Endpoint is as the steward knows it.
+	Endpoint inventory.Endpoint
 	client   *Client
 	id       TicketID
 	revoked  chan struct{}
@@ -357,7 +358,7 @@
 		}
 		args.Held = append(args.Held, Held{
 			Ask:      w.ask(now),
-			Endpoint: w.slot.Endpoint,
+			Endpoint: w.slot.Endpoint.ID,
 		})
 	}
 	return args
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -80,10 +80,11 @@
 
 // Outcome is a decision for a VM.
 type Outcome struct {
-	Kind     OutcomeKind
-	VM       VMName
-	Ticket   TicketID
-	Endpoint inventory.ID
+	Kind   OutcomeKind
+	VM     VMName
+	Ticket TicketID
+	// Endpoint is where a granted ticket runs.
+	Endpoint inventory.Endpoint
 	// RetryAfter is when it makes sense to ask again after a refusal.
 	RetryAfter time.Duration
 }
@@ -375,7 +376,7 @@
 		Kind:     OutcomeGrant,
 		VM:       t.VM,
 		Ticket:   t.ID,
-		Endpoint: e.ID,
+		Endpoint: e.Endpoint,
 	})
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -60,7 +60,7 @@
 	assert.Equal(t, outcomes[0].Kind, OutcomeRevoke)
 	assert.Equal(t, outcomes[0].Ticket, TicketID("batch"))
 	assert.Equal(t, outcomes[1].Kind, OutcomeGrant)
-	assert.Equal(t, outcomes[1].Endpoint, inventory.ID("a"))
+	assert.Equal(t, outcomes[1].Endpoint.ID, inventory.ID("a"))
 	// The revoked run occupies nothing: its return frees no second slot.
 	p.Release("v", "batch", TroubleNone, now)
 	p.Ask(ticket("v", "batch.1", ClassBatch, now, time.Second))
@@ -134,7 +134,7 @@
 			got := map[TicketID]inventory.ID{}
 			for _, outcome := range p.Decide(now) {
 				assert.Equal(t, outcome.Kind, OutcomeGrant)
-				got[outcome.Ticket] = outcome.Endpoint
+				got[outcome.Ticket] = outcome.Endpoint.ID
 			}
 			assert.DeepEqual(t, got, test.want)
 		})
@@ -150,7 +150,7 @@
 	}
 	count := map[inventory.ID]int{}
 	for _, outcome := range p.Decide(now) {
-		count[outcome.Endpoint]++
+		count[outcome.Endpoint.ID]++
 	}
 	assert.DeepEqual(t, count, map[inventory.ID]int{"a": 2, "b": 2, "c": 2})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,6 +43,9 @@
 	enterPause = 400 * time.Millisecond
 	// smallCores is below how many cores a VM holds a pool only if no larger one is left.
 	smallCores = 0.4
+	// youngFor is for how long a VM that started holds a pool only if no older one is left: it still learns which
+	// endpoints there are, and what restarts once may restart again.
+	youngFor = 3 * time.Second
 )
 
 // Roster is the set of known VMs.
@@ -56,6 +59,8 @@
 type entry struct {
 	vm       VM
 	revision store.Revision
+	// since is when this incarnation was first seen here.
+	since time.Time
 }
 
 // New returns a roster that knows this VM alone.
@@ -65,7 +70,8 @@
 		log:  log,
 		vms: map[pool.VMName]entry{
 			self.Name: {
-				vm: self,
+				vm:    self,
+				since: time.Now(),
 			},
 		},
 	}
@@ -143,15 +149,30 @@
 		r.log.Warn("vm row not understood", "vm", name, "err", err)
 		return
 	}
+	since := r.vms[name].since
 	if r.vms[name].vm != vm {
+		since = time.Now()
 		r.log.Info("vm listed", "vm", name, "incarnation", vm.Incarnation, "address", vm.Address)
 	}
 	r.vms[name] = entry{
 		vm:       vm,
 		revision: row.Revision,
+		since:    since,
 	}
 }
 
+// lastness is how much a VM's means speak against its holding a pool.
+func lastness(e entry) int {
+	last := 0
+	if time.Since(e.since) < youngFor {
+		last = 2
+	}
+	if e.vm.Cores < smallCores {
+		last++
+	}
+	return last
+}
+
 // Get returns a VM by its name.
 func (r *Roster) Get(name pool.VMName) (VM, bool) {
 	r.mu.Lock()
@@ -167,13 +188,14 @@
 	return len(r.vms)
 }
 
-// Ranked returns the VMs in the order in which they should hold the service's pool: large VMs first, spread by hash.
+// Ranked returns the VMs in the order in which they should hold the service's pool: large VMs
+// that have run for a while first, spread by hash.
 func (r *Roster) Ranked(service route.Service) []pool.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	type ranked struct {
 		member pool.Member
-		small  bool
+		last   int
 		hash   uint64
 	}
 	list := make([]ranked, 0, len(r.vms))
@@ -183,18 +205,12 @@
 				VM:      name,
 				Address: known.vm.Address,
 			},
-			small: known.vm.Cores < smallCores,
-			hash:  xxhash.Sum64String(string(service) + "/" + string(name)),
+			last: lastness(known),
+			hash: xxhash.Sum64String(string(service) + "/" + string(name)),
 		})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
-		if a.small != b.small {
-			if a.small {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.member.VM, b.member.VM))
+		return cmp.Or(cmp.Compare(a.last, b.last), cmp.Compare(a.hash, b.hash), cmp.Compare(a.member.VM, b.member.VM))
 	})
 	members := make([]pool.Member, 0, len(list))
 	for _, each := range list {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -30,20 +31,27 @@
 	Change(rows []Row)
 }
 
-// Follower keeps a sink up to date with one part of a table.
+// Follower keeps a sink up to date with the rows of a table whose part is empty. While the store is away, it takes what
+// other VMs have seen.
 type Follower struct {
-	store Store
-	table Table
-	sink  Sink
-	log   *slog.Logger
-	seen  Revision
-	// failedAt is when a call last failed, in nanoseconds since started; zero if none did.
+	store   Store
+	table   Table
+	sink    Sink
+	log     *slog.Logger
+	started time.Time
+
+	mu   sync.Mutex
+	rows map[Key]Row
+	seen Revision
+	// loaded says that the table was read once.
+	loaded bool
+	lost   bool
+	// failedAt is when a call last failed, in nanoseconds since started; zero if none did. The sink asks for it while
+	// the lock is held.
 	failedAt atomic.Int64
-	lost     bool
-	started  time.Time
 }
 
-// NewFollower returns a follower of a table's rows with an empty part.
+// NewFollower returns a follower of a table.
 func NewFollower(s Store, table Table, sink Sink, log *slog.Logger) *Follower {
 	return &Follower{
 		store:   s,
@@ -51,9 +59,15 @@
 		sink:    sink,
 		log:     log,
 		started: time.Now(),
+		rows:    map[Key]Row{},
 	}
 }
 
+// Table returns the table.
+func (f *Follower) Table() Table {
+	return f.table
+}
+
 // SinceLoss returns how long ago the store last failed to answer; a very long time if it never did.
 func (f *Follower) SinceLoss() time.Duration {
 	at := f.failedAt.Load()
@@ -63,6 +77,38 @@
 	return time.Since(f.started) - time.Duration(at)
 }
 
+// Blind says that the table can't be read from the store now, or never was.
+func (f *Follower) Blind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost || !f.loaded
+}
+
+// Snapshot returns the table as known, and the revision as of which it is.
+func (f *Follower) Snapshot() Page {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	page := Page{
+		Revision: f.seen,
+		Rows:     make([]Row, 0, len(f.rows)),
+	}
+	for _, row := range f.rows {
+		page.Rows = append(page.Rows, row)
+	}
+	return page
+}
+
+// Offer takes a table as another VM knows it, unless this one has seen more.
+func (f *Follower) Offer(page Page) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if page.Revision <= f.seen {
+		return
+	}
+	f.log.Info("table taken from a peer", "table", f.table, "revision", page.Revision, "rows", len(page.Rows))
+	f.replace(page)
+}
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	fresh := true
@@ -83,19 +129,26 @@
 	if fresh {
 		return f.reread(ctx)
 	}
+	f.mu.Lock()
+	after := f.seen
+	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, followWait+followGrace)
 	defer cancel()
-	page, err := f.store.Changes(ctx, f.table, f.seen, followWait)
+	page, err := f.store.Changes(ctx, f.table, after, followWait)
 	if err != nil {
 		return err
 	}
-	if page.Revision < f.seen {
+	if page.Revision < after {
 		return ErrHistoryGone
 	}
-	f.seen = page.Revision
-	if len(page.Rows) > 0 {
-		f.sink.Change(page.Rows)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seen != after {
+		// A peer's table was taken meanwhile.
+		return nil
 	}
+	f.seen = page.Revision
+	f.change(page.Rows)
 	return nil
 }
 
@@ -108,15 +161,44 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if page.Revision < f.seen {
 		return ErrUnavailable
 	}
+	f.loaded = true
+	f.replace(page)
+	return nil
+}
+
+// replace takes a whole table; the lock is held.
+func (f *Follower) replace(page Page) {
 	f.seen = page.Revision
+	f.rows = make(map[Key]Row, len(page.Rows))
+	for _, row := range page.Rows {
+		f.rows[row.Address.Key] = row
+	}
 	f.sink.Replace(page.Rows)
-	return nil
+}
+
+// change takes rows that changed; the lock is held.
+func (f *Follower) change(rows []Row) {
+	if len(rows) == 0 {
+		return
+	}
+	for _, row := range rows {
+		if row.Deleted {
+			delete(f.rows, row.Address.Key)
+			continue
+		}
+		f.rows[row.Address.Key] = row
+	}
+	f.sink.Change(rows)
 }
 
 func (f *Follower) regained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.lost {
 		f.lost = false
 		f.log.Info("store regained", "table", f.table, "revision", f.seen)
@@ -125,10 +207,12 @@
 
 func (f *Follower) failed(ctx context.Context, err error) {
 	f.failedAt.Store(int64(time.Since(f.started)))
+	f.mu.Lock()
 	if !f.lost && ctx.Err() == nil {
 		f.lost = true
 		f.log.Warn("store lost", "table", f.table, "revision", f.seen, "err", err)
 	}
+	f.mu.Unlock()
 	pause := followPause/2 + rand.N(followPause/2)
 	select {
 	case <-ctx.Done():
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -62,6 +62,7 @@
 	endpoints *store.Follower
 	operator  *store.Follower
 	members   *store.Follower
+	exchange  *exchange
 	life      context.Context
 	end       context.CancelFunc
 }
@@ -75,14 +76,14 @@
 		life:     life,
 		end:      end,
 		view:     route.NewView(log),
-		store: platform.NewStore(&http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: storeConnections,
-				IdleConnTimeout:     idleTime,
-				DisableCompression:  true,
-			},
-		}, s.Store.Address),
 	}
+	direct := platform.NewStore(&http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: storeConnections,
+			IdleConnTimeout:     idleTime,
+			DisableCompression:  true,
+		},
+	}, s.Store.Address)
 	self := roster.VM{
 		Name:        s.Name,
 		Incarnation: roster.Incarnation(uuid.NewString()),
@@ -96,11 +97,21 @@
 		p.stewards.EndpointsChanged()
 	}, log)
 	p.stewards = pool.NewStewards(p.inventory, log)
-	p.endpoints = store.NewFollower(p.store, platform.TableEndpoints, endpointSink{process: p}, log)
-	p.operator = store.NewFollower(p.store, platform.TableOperator, configSink{process: p}, log)
-	p.members = store.NewFollower(p.store, roster.Table, p.roster, log)
+	p.endpoints = store.NewFollower(direct, platform.TableEndpoints, endpointSink{process: p}, log)
+	p.operator = store.NewFollower(direct, platform.TableOperator, configSink{process: p}, log)
+	p.members = store.NewFollower(direct, roster.Table, p.roster, log)
 	secret := peer.Secret(s.Peers.Secret)
 	caller := peer.NewPool(secret)
+	p.exchange = &exchange{
+		self:      self.Name,
+		seeds:     s.Seeds,
+		followers: []*store.Follower{p.operator, p.endpoints, p.members},
+		roster:    p.roster,
+		caller:    caller,
+		direct:    direct,
+		log:       log,
+	}
+	p.store = store.NewRelay(direct, p.exchange, log)
 	p.pools = &pools{
 		self: pool.Member{
 			VM:      self.Name,
@@ -124,7 +135,11 @@
 		log:       log,
 	}
 	p.peers = peer.NewServer(secret, log)
-	err := errors.Join(p.peers.Register(pool.ServiceName, p.stewards), p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)))
+	err := errors.Join(
+		p.peers.Register(pool.ServiceName, p.stewards),
+		p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)),
+		p.peers.Register(exchangeName, &Exchange{exchange: p.exchange}),
+	)
 	return p, oops.In("vm").Wrap(err)
 }
 
@@ -202,6 +217,7 @@
 		p.endpoints.Run,
 		p.members.Run,
 		p.warden.Run,
+		p.exchange.run,
 		func(ctx context.Context) {
 			p.roster.Enter(ctx, p.store)
 			<-ctx.Done()
