Close idle connections when draining; items that can still be due go first

Idle connections are closed at SIGTERM now, and the drain ends when nothing is active. Batch: items that can't be done by their due time wait behind those that can; lengths are estimated from outputs seen, as hints are far off.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -41,6 +41,8 @@
 	Tokens int64
 	// OutputTokens are the tokens of the output at most, or zero.
 	OutputTokens int64
+	// LengthHint is the caller's estimate of the output's tokens, or zero.
+	LengthHint int64
 }
 
 // Submission is a job as its caller hands it in.
--- a/internal/batch/keeper.go
+++ b/internal/batch/keeper.go
@@ -51,6 +51,7 @@
 	inventory forward.Inventory
 	sender    *forward.Sender
 	log       *slog.Logger
+	lengths   *lengths
 	// life ends when the process stops.
 	life context.Context
 
@@ -73,6 +74,7 @@
 		inventory: list,
 		sender:    sender,
 		log:       log,
+		lengths:   newLengths(),
 		life:      ctx,
 		owned:     map[JobID]*job{},
 		manifests: map[JobID]manifest{},
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -20,7 +20,7 @@
 	// that is still done by its due time is estimated.
 	tokenTime = 3 * time.Millisecond
 	// dueMargin is what is kept of the time until the due time for listing the result and the caller's next read.
-	dueMargin = time.Second
+	dueMargin = 200 * time.Millisecond
 	// stallItem is after how long without an event a run is given up and resumed elsewhere.
 	stallItem = time.Second
 	// itemPause is the pause after a run that failed at the endpoint; it doubles with each failure in a row.
@@ -118,6 +118,7 @@
 		err := j.attempt(ctx, item, to, &progress, &avoid, n)
 		switch {
 		case err == nil:
+			j.learn(to.Pick(string(item.ID)), &progress)
 			j.end(item, progress, StateSucceeded, "")
 			return
 		case errors.Is(err, errImpossible), progress.Failures >= max(1, to.Attempts):
@@ -149,7 +150,7 @@
 }
 
 func (j *job) end(item *Item, progress Progress, state State, why string) {
-	j.keeper.log.Info("item ended", "job", j.id, "item", item.ID, "state", state, "events", progress.Events, "failures", progress.Failures, "why", why)
+	j.keeper.log.Info("item ended", "job", j.id, "item", item.ID, "state", state, "events", progress.Events, "tokens_at_most", item.OutputTokens, "length_hint", item.LengthHint, "failures", progress.Failures, "why", why)
 	j.mu.Lock()
 	delete(j.partial, item.ID)
 	j.mu.Unlock()
@@ -173,7 +174,7 @@
 		ID:      pool.TicketID(string(j.id) + "/" + string(item.ID) + "." + strconv.Itoa(n)),
 		Class:   pool.ClassBatch,
 		Rank:    to.Rank,
-		Start:   j.due.Add(-dueMargin - time.Duration(item.OutputTokens)*tokenTime),
+		Start:   j.due.Add(-dueMargin - j.remaining(item, service, progress)),
 		Expires: j.abandon,
 		Avoid:   *avoid,
 	})
@@ -199,6 +200,22 @@
 	return err
 }
 
+// learn takes the length of an item that is done.
+func (j *job) learn(service route.Service, progress *Progress) {
+	if config := j.keeper.view.Current(); config != nil {
+		j.keeper.lengths.add(service, config.TokensPerEvent(service)*float64(progress.Events))
+	}
+}
+
+// remaining estimates how long the item still runs.
+func (j *job) remaining(item *Item, service route.Service, progress *Progress) time.Duration {
+	tokens := j.keeper.lengths.estimate(service, item)
+	if config := j.keeper.view.Current(); config != nil {
+		tokens -= config.TokensPerEvent(service) * float64(progress.Events)
+	}
+	return time.Duration(max(0, tokens) * float64(tokenTime))
+}
+
 // send sends the item to the slot's endpoint and takes its events.
 func (j *job) send(ctx context.Context, slot *pool.Slot, item *Item, progress *Progress) error {
 	if err := forward.Check(j.keeper.inventory, slot.Endpoint); err != nil {
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -269,6 +269,7 @@
 			seed:      seed,
 		})
 		assert.Assert(t, got.onTimeShare() > 0.85, "seed %d: %+v", seed, got)
+		t.Logf("seed %d: %+v", seed, got)
 		assert.Assert(t, float64(got.refused) < 0.05*float64(got.online), "seed %d: %+v", seed, got)
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -333,7 +333,7 @@
 		return
 	}
 	late := p.grantWhere(now, func(t Ticket) bool {
-		return !now.After(t.Start)
+		return !t.late(now)
 	})
 	if !late {
 		p.grantWhere(now, func(Ticket) bool {
@@ -366,17 +366,30 @@
 	return missed
 }
 
-// grantBatch gives the slots that are left to batch tickets.
+// grantBatch gives the slots that are left to batch tickets. Those that can still be done by their due time go first: in
+// order of their due times alone, an overload would make nearly all of them late by a little.
 func (p *Pool) grantBatch(now time.Time) {
-	if len(p.online) > 0 {
+	if len(p.online) > 0 || len(p.batch) == 0 {
 		return
 	}
+	if p.grantBatchWhere(now, false) {
+		p.grantBatchWhere(now, true)
+	}
+}
+
+// grantBatchWhere gives slots to the batch tickets that are late, or to those that are not, and reports whether slots may
+// be left.
+func (p *Pool) grantBatchWhere(now time.Time, late bool) bool {
 	left := p.batch[:0]
 	for i, t := range p.batch {
+		if t.late(now) != late {
+			left = append(left, t)
+			continue
+		}
 		e := p.free(t, now)
 		if e == nil && len(t.Avoid) == 0 {
-			left = append(left, p.batch[i:]...)
-			break
+			p.batch = append(left, p.batch[i:]...)
+			return false
 		}
 		if e == nil {
 			left = append(left, t)
@@ -385,6 +398,12 @@
 		p.grant(t, e, now)
 	}
 	p.batch = left
+	return true
+}
+
+// late says that a run that begins now would not be on time.
+func (t Ticket) late(now time.Time) bool {
+	return now.After(t.Start)
 }
 
 func (p *Pool) grant(t Ticket, e *endpoint, now time.Time) {
@@ -467,8 +486,11 @@
 	return e
 }
 
-// later orders batch runs by how well they can wait.
+// later orders batch runs by how well they can wait: first those that were late when they began.
 func later(a, b *run) bool {
+	if aLate, bLate := a.ticket.late(a.since), b.ticket.late(b.since); aLate != bLate {
+		return aLate
+	}
 	if !a.ticket.Start.Equal(b.ticket.Start) {
 		return a.ticket.Start.After(b.ticket.Start)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -103,6 +103,8 @@
 	Name Service
 	// MaxConnections bounds the connections that one endpoint accepts from all VMs together.
 	MaxConnections int
+	// TokensPerEvent is how many tokens an event of a model engine holds; zero if that is not known.
+	TokensPerEvent float64
 }
 
 // Limits bound what a caller may send. Zero sets no bound.
@@ -136,12 +138,12 @@
 	return best
 }
 
-// HasHost says whether any route has the host.
-func (c *Config) HasHost(host string) bool {
-	for i := range c.Routes {
-		if c.Routes[i].Host == host {
-			return true
+// TokensPerEvent returns how many tokens an event of the service holds; zero if that is not known.
+func (c *Config) TokensPerEvent(service Service) float64 {
+	for i := range c.Services {
+		if c.Services[i].Name == service {
+			return c.Services[i].TokensPerEvent
 		}
 	}
-	return false
+	return 0
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -58,6 +58,7 @@
 	keeper    *batch.Keeper
 	warden    *batch.Warden
 	front     *front
+	callers   *http.Server
 	peers     *peer.Server
 	endpoints *store.Follower
 	operator  *store.Follower
@@ -125,8 +126,21 @@
 		life:    life,
 		clients: map[route.Service]*pool.Client{},
 	}
+	p.peers = peer.NewServer(secret, log)
+	p.work(self, caller)
+	err := errors.Join(
+		p.peers.Register(pool.ServiceName, p.stewards),
+		p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)),
+		p.peers.Register(exchangeName, &Exchange{exchange: p.exchange}),
+	)
+	return p, oops.In("vm").Wrap(err)
+}
+
+// work makes what serves requests and batch jobs.
+func (p *Process) work(self roster.VM, caller pool.Caller) {
+	log := p.log
 	sender := forward.NewSender(platform.Headers{})
-	p.keeper = batch.NewKeeper(life, self, p.store, p.view, p.pools, p.inventory, sender, log)
+	p.keeper = batch.NewKeeper(p.life, self, p.store, p.view, p.pools, p.inventory, sender, log)
 	p.warden = batch.NewWarden(p.keeper, p.roster, caller, p.pools.Holds, log)
 	p.front = &front{
 		view:      p.view,
@@ -134,20 +148,35 @@
 		keeper:    p.keeper,
 		log:       log,
 	}
-	p.peers = peer.NewServer(secret, log)
-	err := errors.Join(
-		p.peers.Register(pool.ServiceName, p.stewards),
-		p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)),
-		p.peers.Register(exchangeName, &Exchange{exchange: p.exchange}),
-	)
-	return p, oops.In("vm").Wrap(err)
 }
 
 // Run serves until ctx ends, and then until what was begun is answered.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.end()
 	var group run.Group
-	callers := &http.Server{
+	if err := p.listen(&group); err != nil {
+		return err
+	}
+	p.follow(&group)
+	group.Add(func() error {
+		<-ctx.Done()
+		p.drain()
+		return nil
+	}, func(error) {
+		p.end()
+	})
+	p.log.Info("started", "vm", p.settings.Name, "incarnation", p.keeper.Incarnation(), "failure_domain", p.settings.FailureDomain, "callers", p.settings.Listen.Callers)
+	err := group.Run()
+	p.log.Info("stopped", "vm", p.settings.Name, "err", err)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// listen adds the servers to the group.
+func (p *Process) listen(group *run.Group) error {
+	p.callers = &http.Server{
 		Handler:           p.front,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTime,
@@ -164,9 +193,9 @@
 	}{
 		{
 			address: p.settings.Listen.Callers,
-			serve:   callers.Serve,
+			serve:   p.callers.Serve,
 			stop: func() {
-				_ = callers.Close()
+				_ = p.callers.Close()
 			},
 		},
 		{
@@ -193,21 +222,7 @@
 			each.stop()
 		})
 	}
-	p.follow(&group)
-	group.Add(func() error {
-		<-ctx.Done()
-		p.drain()
-		return nil
-	}, func(error) {
-		p.end()
-	})
-	p.log.Info("started", "vm", p.settings.Name, "incarnation", p.keeper.Incarnation(), "failure_domain", p.settings.FailureDomain, "callers", p.settings.Listen.Callers)
-	err := group.Run()
-	p.log.Info("stopped", "vm", p.settings.Name, "err", err)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+	return nil
 }
 
 // follow adds what keeps this VM up to date.
@@ -238,6 +253,8 @@
 	begun := time.Now()
 	p.log.Info("draining", "active", p.front.active.Load())
 	p.front.draining.Store(true)
+	// Idle connections are closed now: a caller that kept one would otherwise send on it until the very end.
+	p.callers.SetKeepAlivesEnabled(false)
 	p.stewards.Retire()
 	for time.Since(begun) < drainLeast || p.front.active.Load() > 0 && time.Since(begun) < drainMost {
 		p.handOver()
