Tests with the real program against a stand-in of the platform; faults they found

Found by the tests, each failing first: nobody looked after jobs whose owner had died until another VM was asked for its first request (TestOwnerDies, TestOwnerWakes, TestAllVMsDie); jobs sent at once passed the token cap together (TestQuota: 4 accepted where 3 fit); errors were logged as groups without their text. Each VM now joins the pools of all services in the configuration; acceptances are put in sequence whenever many of their size at once might not fit. Log lines are written beside the work, and dropped and counted if the output does not take them.

--- a/internal/batch/keeper.go
+++ b/internal/batch/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,9 +33,12 @@
 	// checkPeriod is how often it is looked whether a job was ended, well inside the time within which its items
 	// must not be sent any more.
 	checkPeriod = time.Second
-	// tight is the share of the token cap above which acceptances are put in sequence, so that those that
-	// do not see each other can't pass the cap together.
-	tight = 0.5
+	// acceptsAtOnce is how many acceptances may be under way that do not see each other: some twenty jobs a second
+	// and VM-independent, times what a slow store takes for one. If that many of a job's size might not fit, the
+	// job is accepted in sequence with the others.
+	acceptsAtOnce = 32
+	// sequencePause is the longest pause after another acceptance came between.
+	sequencePause = 20 * time.Millisecond
 )
 
 // Clients gives slots at endpoints.
@@ -100,6 +104,11 @@
 			return nil
 		case errors.Is(err, ErrFull) && !uncertain:
 			return err
+		case errors.Is(err, store.ErrConflict):
+			if !sleep(ctx, rand.N(sequencePause)) {
+				break
+			}
+			continue
 		case errors.Is(err, store.ErrUnknown):
 			uncertain = true
 		}
@@ -206,7 +215,7 @@
 		k.log.Info("job refused", "job", s.ID, "tokens_waiting", waiting, "cap", tokenCap, "revision", page.Revision)
 		return sequence, ErrFull
 	}
-	if float64(waiting) < tight*float64(tokenCap) {
+	if waiting+acceptsAtOnce*tokensOf(*m) <= tokenCap {
 		return sequence, nil
 	}
 	expect := store.Expectation{
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -21,9 +21,11 @@
 	if err := least.UnmarshalText([]byte(level)); err != nil {
 		least = slog.LevelInfo
 	}
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{
-		Level: least,
-	}))
+	return slog.New(plainErrors{
+		Handler: slog.NewTextHandler(w, &slog.HandlerOptions{
+			Level: least,
+		}),
+	})
 }
 
 // Status is a process's readiness and its metrics.
--- a/internal/vm/pools.go
+++ b/internal/vm/pools.go
@@ -29,6 +29,16 @@
 	return p.client(service).Acquire(ctx, wish)
 }
 
+// Join starts the clients of all services of a configuration, so that each VM has a session with each steward also before
+// its first request: whoever is the steward looks after batch jobs.
+func (p *pools) Join(config *route.Config) {
+	for i := range config.Routes {
+		for _, share := range config.Routes[i].Shares {
+			p.client(share.Service)
+		}
+	}
+}
+
 // client returns the client of a service's pool and starts it if there is none.
 func (p *pools) client(service route.Service) *pool.Client {
 	p.mu.Lock()
--- a/internal/vm/sink.go
+++ b/internal/vm/sink.go
@@ -67,6 +67,8 @@
 			s.process.log.Error("configuration not understood", "revision", row.Revision, "err", err)
 			continue
 		}
-		s.process.view.Apply(config)
+		if s.process.view.Apply(config) {
+			s.process.pools.Join(config)
+		}
 	}
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -43,6 +43,8 @@
 	idleTime   = 60 * time.Second
 	// storeConnections is how many connections to the store are kept.
 	storeConnections = 8
+	// storeDialTimeout bounds the making of a connection to the store, which takes milliseconds.
+	storeDialTimeout = time.Second
 )
 
 // Process is a VM's process.
@@ -78,13 +80,7 @@
 		end:      end,
 		view:     route.NewView(log),
 	}
-	direct := platform.NewStore(&http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: storeConnections,
-			IdleConnTimeout:     idleTime,
-			DisableCompression:  true,
-		},
-	}, s.Store.Address)
+	direct := platform.NewStore(storeClient(s.Listen.Peers), s.Store.Address)
 	self := roster.VM{
 		Name:        s.Name,
 		Incarnation: roster.Incarnation(uuid.NewString()),
@@ -136,6 +132,26 @@
 	return p, oops.In("vm").Wrap(err)
 }
 
+// storeClient returns a client whose connections come from the VM's own address.
+func storeClient(own string) *http.Client {
+	dialer := &net.Dialer{
+		Timeout: storeDialTimeout,
+	}
+	if host, _, err := net.SplitHostPort(own); err == nil {
+		dialer.LocalAddr = &net.TCPAddr{
+			IP: net.ParseIP(host),
+		}
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: storeConnections,
+			IdleConnTimeout:     idleTime,
+			DisableCompression:  true,
+		},
+	}
+}
+
 // work makes what serves requests and batch jobs.
 func (p *Process) work(self roster.VM, caller pool.Caller) {
 	log := p.log
--- a/internal/vmcli/vmcli.go
+++ b/internal/vmcli/vmcli.go
@@ -56,7 +56,9 @@
 	}
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB<<20)))
-	log := telemetry.NewLogger(os.Stdout, settings.Log.Level)
+	lines := telemetry.NewBoundedWriter(os.Stdout)
+	defer lines.Close()
+	log := telemetry.NewLogger(lines, settings.Log.Level)
 	process, err := vm.New(settings, log)
 	if err != nil {
 		return err
--- /dev/null
+++ b/test/platform/store_test.go
@@ -0,0 +1,334 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// rowKey locates a row of the stand-in's store.
+type rowKey struct {
+	Table string
+	Part  string
+	Key   string
+}
+
+// wireRow is a row on the wire.
+type wireRow struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Ver     int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+func (r wireRow) key() rowKey {
+	return rowKey{
+		Table: r.Table,
+		Part:  r.Part,
+		Key:   r.Key,
+	}
+}
+
+// fault is how the store treats a call; an empty one serves it.
+type fault string
+
+const (
+	faultNone fault = ""
+	// faultBusy answers 503, faultReset closes the connection, faultSilent answers nothing.
+	faultBusy   fault = "busy"
+	faultReset  fault = "reset"
+	faultSilent fault = "silent"
+	// faultLost does what was asked and answers nothing.
+	faultLost fault = "lost"
+	// faultLate does so a second later.
+	faultLate fault = "late"
+)
+
+// storeStandin plays the platform's store.
+type storeStandin struct {
+	mu      sync.Mutex
+	rows    map[rowKey]wireRow
+	history []wireRow
+	objects map[string][]byte
+	ver     int64
+	// kept is the revision after which history is kept.
+	kept    int64
+	changed chan struct{}
+	// fault decides on a call by the caller's address.
+	fault   func(ip, path string) fault
+	started time.Time
+	calls   map[string]int
+}
+
+func newStoreStandin() *storeStandin {
+	return &storeStandin{
+		rows:    map[rowKey]wireRow{},
+		objects: map[string][]byte{},
+		changed: make(chan struct{}),
+		started: time.Now(),
+		calls:   map[string]int{},
+	}
+}
+
+// setFault makes the store treat calls as the function says; nil serves all.
+func (s *storeStandin) setFault(f func(ip, path string) fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// put writes a row as the operator or an endpoint does.
+func (s *storeStandin) put(table, key string, value any) {
+	data, _ := json.Marshal(value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]wireRow{{Table: table, Key: key, Value: data}}, nil)
+}
+
+func (s *storeStandin) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(nil, []wireRow{{Table: table, Key: key}})
+}
+
+// compact drops the history.
+func (s *storeStandin) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = s.ver
+	s.history = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// table returns the rows of a table.
+func (s *storeStandin) table(name string) []wireRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []wireRow
+	for key, row := range s.rows {
+		if key.Table == name {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// apply applies a transaction; the lock is held.
+func (s *storeStandin) apply(puts, removes []wireRow) {
+	s.ver++
+	for _, row := range puts {
+		row.Ver = s.ver
+		row.Deleted = false
+		s.rows[row.key()] = row
+		s.history = append(s.history, row)
+	}
+	for _, row := range removes {
+		if _, is := s.rows[row.key()]; !is {
+			continue
+		}
+		delete(s.rows, row.key())
+		row.Ver = s.ver
+		row.Deleted = true
+		row.Value = nil
+		s.history = append(s.history, row)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *storeStandin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	decide := s.fault
+	s.mu.Unlock()
+	kind := faultNone
+	if decide != nil {
+		kind = decide(ip, r.URL.Path)
+	}
+	switch kind {
+	case faultBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case faultReset:
+		panic(http.ErrAbortHandler)
+	case faultSilent:
+		<-r.Context().Done()
+		return
+	case faultLost:
+		s.serve(discard{header: http.Header{}}, r)
+		<-r.Context().Done()
+		return
+	case faultLate:
+		body, _ := io.ReadAll(r.Body)
+		late := r.Clone(r.Context())
+		late.Body = io.NopCloser(strings.NewReader(string(body)))
+		time.AfterFunc(time.Second, func() {
+			s.serve(discard{header: http.Header{}}, late)
+		})
+		<-r.Context().Done()
+		return
+	case faultNone:
+	}
+	s.serve(w, r)
+}
+
+// discard is an answer that nobody gets.
+type discard struct {
+	header http.Header
+}
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (s *storeStandin) serve(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/rows-tx":
+		s.transact(w, r)
+	case r.URL.Path == "/rows-get":
+		s.get(w, r)
+	case r.URL.Path == "/rows-feed":
+		s.feed(w, r)
+	case strings.HasPrefix(r.URL.Path, "/blob-"):
+		s.object(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *storeStandin) transact(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		ExpectedRevision []wireRow `json:"expectedRevision"`
+		Puts             []wireRow `json:"puts"`
+		Remove           []wireRow `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	parts := map[string]bool{}
+	for _, row := range slices.Concat(body.ExpectedRevision, body.Puts, body.Remove) {
+		parts[row.Part] = true
+		if row.Table == "op" || row.Table == "servers" || len(row.Value) > 65536 {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	if len(parts) > 1 || len(body.ExpectedRevision)+len(body.Puts)+len(body.Remove) > 100 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, expect := range body.ExpectedRevision {
+		if s.rows[expect.key()].Ver != expect.Ver {
+			s.answer(w, http.StatusPreconditionFailed, nil, false)
+			return
+		}
+	}
+	s.apply(body.Puts, body.Remove)
+	s.answer(w, http.StatusOK, nil, false)
+}
+
+// answer writes rows with the store's revision and clock; the lock is held.
+func (s *storeStandin) answer(w http.ResponseWriter, status int, rows []wireRow, more bool) {
+	if rows == nil {
+		rows = []wireRow{}
+	}
+	data, _ := json.Marshal(map[string]any{
+		"rows":    rows,
+		"hasMore": more,
+		"ver":     s.ver,
+		"nowMs":   time.Since(s.started).Milliseconds(),
+	})
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// pageRows is how many rows an answer holds; small, so that tests read several pages.
+const pageRows = 7
+
+func (s *storeStandin) get(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []wireRow
+	for key, row := range s.rows {
+		if key.Table == query.Get("table") && key.Part == query.Get("part") && key.Key >= query.Get("from") && (query.Get("to") == "" || key.Key < query.Get("to")) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b wireRow) int {
+		return strings.Compare(a.Key, b.Key)
+	})
+	more := len(rows) > pageRows
+	s.answer(w, http.StatusOK, rows[:min(pageRows, len(rows))], more)
+}
+
+func (s *storeStandin) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	until := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.kept {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		var rows []wireRow
+		for _, row := range s.history {
+			if row.Ver > after && row.Table == query.Get("table") {
+				rows = append(rows, row)
+			}
+		}
+		changed := s.changed
+		if len(rows) > 0 {
+			s.answer(w, http.StatusOK, rows, false)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-until:
+			s.mu.Lock()
+			s.answer(w, http.StatusOK, nil, false)
+			s.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (s *storeStandin) object(w http.ResponseWriter, r *http.Request) {
+	verb, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/blob-"), "/")
+	data, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, is := s.objects[name]
+	switch {
+	case verb == "put" && is:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case verb == "put":
+		s.objects[name] = data
+	case verb == "get" && is:
+		_, _ = w.Write(s.objects[name])
+	case verb == "drop":
+		delete(s.objects, name)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
