Metrics, reload, retention of batch jobs; tests of each new package

Cause: the VM's process served no metrics, ignored its settings file once started, and kept finished jobs for ever. Two faults found by the new tests: the VM that accepted a job answered 503 for its items' bodies (its own copy of the manifest lacked the number of rows), and a relayed read that got no answer was reported as unknown or as unavailable at random.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 # race runs the packages whose tests are concurrent with the race detector.
 RACE = ./internal/tablestore ./internal/lease ./internal/job ./internal/dispatcher ./internal/steward \
 	./internal/endpoint ./internal/router ./internal/organisation ./internal/document ./internal/fleet \
+	./internal/batch ./internal/pool ./internal/store ./internal/inventory ./internal/forward ./internal/roster ./internal/route \
 	./internal/peer ./internal/gateway ./internal/controller ./internal/call ./internal/queue ./internal/request
 race: build
 	$(GO) test -race -short -json -timeout 15m $(RACE) | ./bin/verdict KNOWN-RED.txt
--- /dev/null
+++ b/internal/batch/batch_test.go
@@ -0,0 +1,298 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/pool"
+	"rhubarbrudder/internal/roster"
+	"rhubarbrudder/internal/route"
+	"rhubarbrudder/internal/store"
+)
+
+// errLate makes a transaction take effect later, and its outcome unknown now.
+var errLate = errors.New("late")
+
+// noSlots never gives a slot.
+type noSlots struct{}
+
+func (noSlots) Acquire(ctx context.Context, _ route.Service, _ pool.Wish) (*pool.Slot, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func newKeeper(t *testing.T, m *memory, name string) *Keeper {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	k := NewKeeper(ctx, roster.VM{
+		Name:        pool.VMName(name),
+		Incarnation: roster.Incarnation(name + "-1"),
+	}, m, route.NewView(slog.New(slog.DiscardHandler)), noSlots{}, nil, nil, slog.New(slog.DiscardHandler))
+	t.Cleanup(func() {
+		cancel()
+		k.running.Wait()
+	})
+	return k
+}
+
+var jobRoute = &route.Route{
+	Kind:     route.KindBatch,
+	Window:   18 * time.Second,
+	Abandon:  60 * time.Second,
+	Attempts: 3,
+	TokenCap: 1000,
+}
+
+func submission(id JobID, items int, tokens int64) Submission {
+	s := Submission{
+		ID:   id,
+		Host: "h",
+		Path: "/p/",
+	}
+	for n := range items {
+		s.Items = append(s.Items, Item{
+			ID:     ItemID(fmt.Sprintf("%s-%d", id, n)),
+			Path:   "/p/x",
+			Body:   []byte("body"),
+			Tokens: tokens,
+		})
+	}
+	return s
+}
+
+// owned returns the job that the keeper runs.
+func owned(t *testing.T, k *Keeper, id JobID) *job {
+	t.Helper()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	assert.Assert(t, k.owned[id] != nil)
+	return k.owned[id]
+}
+
+// TestAccept checks acceptance when the store loses answers, does what was asked late, or turns calls away.
+func TestAccept(t *testing.T) {
+	tests := map[string]struct {
+		faults []error
+		want   error
+	}{
+		"at once":                {},
+		"answer lost":            {faults: []error{store.ErrUnknown}},
+		"late":                   {faults: []error{errLate}},
+		"turned away, then done": {faults: []error{store.ErrUnavailable, store.ErrUnavailable}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMemory()
+			m.faults = test.faults
+			k := newKeeper(t, m, "a")
+			assert.ErrorIs(t, k.Accept(context.Background(), submission("j", 2, 10), jobRoute), test.want)
+			m.settle()
+			assert.NilError(t, newKeeper(t, m, "b").Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			page, err := k.ledger.claims(context.Background())
+			assert.NilError(t, err)
+			assert.Equal(t, len(page.Rows), 1)
+			body, err := k.Body(context.Background(), "j", "j-1")
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "body")
+		})
+	}
+}
+
+func TestTokenCap(t *testing.T) {
+	m := newMemory()
+	k := newKeeper(t, m, "a")
+	assert.NilError(t, k.Accept(context.Background(), submission("j1", 2, 300), jobRoute))
+	assert.ErrorIs(t, k.Accept(context.Background(), submission("j2", 2, 300), jobRoute), ErrFull)
+	assert.NilError(t, k.Accept(context.Background(), submission("j1", 2, 300), jobRoute))
+	assert.NilError(t, k.End(context.Background(), "j1"))
+	assert.NilError(t, k.Accept(context.Background(), submission("j2", 2, 300), jobRoute))
+}
+
+// TestListing lists results through commits that fail in every way; each must stand once, in an order that stays.
+func TestListing(t *testing.T) {
+	tests := map[string][]error{
+		"no fault":       nil,
+		"answer lost":    {store.ErrUnknown, nil, store.ErrUnknown},
+		"late":           {errLate, errLate},
+		"turned away":    {store.ErrUnavailable, store.ErrUnavailable},
+		"last one lost":  {nil, nil, store.ErrUnknown},
+		"all of the lot": {store.ErrUnavailable, store.ErrUnknown, errLate, store.ErrUnknown},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMemory()
+			k := newKeeper(t, m, "a")
+			assert.NilError(t, k.Accept(context.Background(), submission("j", 3, 10), jobRoute))
+			j := owned(t, k, "j")
+			m.mu.Lock()
+			m.faults = faults
+			m.mu.Unlock()
+			output := strings.Repeat("long output ", 10_000)
+			for n := range 3 {
+				j.results <- Result{
+					Item:   ItemID(fmt.Sprintf("j-%d", n)),
+					State:  StateSucceeded,
+					Output: output,
+				}
+				if n == 1 {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			k.running.Wait()
+			m.settle()
+			results, err := k.ledger.results(context.Background(), "j", 0, true)
+			assert.NilError(t, err)
+			assert.Equal(t, len(results), 3)
+			seen := map[ItemID]bool{}
+			for _, r := range results {
+				assert.Assert(t, !seen[r.Item])
+				seen[r.Item] = true
+				assert.Equal(t, r.Output, output)
+			}
+			page, err := k.ledger.claims(context.Background())
+			assert.NilError(t, err)
+			assert.Equal(t, len(page.Rows), 0)
+		})
+	}
+}
+
+// TestOldOwnerIsFenced checks that an owner that lost a job unaware lists nothing any more.
+func TestOldOwnerIsFenced(t *testing.T) {
+	m := newMemory()
+	a := newKeeper(t, m, "a")
+	b := newKeeper(t, m, "b")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+	old := owned(t, a, "j")
+	assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+	old.results <- Result{
+		Item:   "j-0",
+		State:  StateSucceeded,
+		Output: "old",
+	}
+	a.running.Wait()
+	owned(t, b, "j").results <- Result{
+		Item:   "j-0",
+		State:  StateSucceeded,
+		Output: "new",
+	}
+	time.Sleep(50 * time.Millisecond)
+	results, err := b.ledger.results(context.Background(), "j", 0, true)
+	assert.NilError(t, err)
+	assert.Equal(t, len(results), 1)
+	assert.Equal(t, results[0].Output, "new")
+	assert.ErrorIs(t, a.Adopt(context.Background(), AdoptArgs{Job: "j", Revision: 1}), errLost)
+}
+
+// TestLateCommitOfOldOwner lets a commit of the old owner take effect only after the new one has the job.
+func TestLateCommitOfOldOwner(t *testing.T) {
+	m := newMemory()
+	a := newKeeper(t, m, "a")
+	b := newKeeper(t, m, "b")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+	m.mu.Lock()
+	m.faults = []error{errLate}
+	m.mu.Unlock()
+	old := owned(t, a, "j")
+	old.results <- Result{
+		Item:   "j-0",
+		State:  StateSucceeded,
+		Output: "old",
+	}
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+	assert.Equal(t, m.settle(), 0)
+	a.running.Wait()
+	results, err := b.ledger.results(context.Background(), "j", 0, true)
+	assert.NilError(t, err)
+	assert.Equal(t, len(results), 0)
+}
+
+func TestOrphans(t *testing.T) {
+	job := Claimed{
+		Job:         "j",
+		Owner:       "a",
+		Incarnation: "1",
+		Revision:    5,
+	}
+	changed := job
+	changed.Revision = 6
+	holds := func(incarnation roster.Incarnation, jobs ...JobID) map[pool.VMName]Holds {
+		return map[pool.VMName]Holds{
+			"a": {
+				Incarnation: incarnation,
+				Jobs:        jobs,
+			},
+		}
+	}
+	type scan struct {
+		job     Claimed
+		answers map[pool.VMName]Holds
+		want    int
+	}
+	tests := map[string][]scan{
+		"the owner has it": {
+			{job: job, answers: holds("1", "j")},
+			{job: job, answers: holds("1", "j")},
+		},
+		"the owner started anew": {
+			{job: job, answers: holds("2"), want: 1},
+		},
+		"the owner is silent": {
+			{job: job},
+			{job: job, want: 1},
+		},
+		"the owner is silent to us but writes": {
+			{job: job},
+			{job: changed},
+			{job: changed, want: 1},
+		},
+		"the owner has only just accepted it": {
+			{job: job, answers: holds("1")},
+			{job: job, answers: holds("1", "j")},
+			{job: job, answers: holds("1")},
+		},
+	}
+	for name, scans := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := NewAbsences()
+			for n, s := range scans {
+				assert.Equal(t, len(a.Orphans([]Claimed{s.job}, s.answers)), s.want, "scan %d", n)
+			}
+		})
+	}
+}
+
+// TestSweep checks that jobs are kept as long as promised, and while they are open, and leave nothing behind.
+func TestSweep(t *testing.T) {
+	m := newMemory()
+	k := newKeeper(t, m, "a")
+	large := submission("large", 1, 1)
+	large.Items[0].Body = make([]byte, 800_000)
+	for _, s := range []Submission{submission("done", 2, 10), submission("open", 1, 10), large} {
+		assert.NilError(t, k.Accept(context.Background(), s, jobRoute))
+	}
+	assert.Equal(t, len(m.objects), 1)
+	assert.NilError(t, k.End(context.Background(), "done"))
+	assert.NilError(t, k.End(context.Background(), "large"))
+	keep := time.Minute
+	removed, err := k.sweep(context.Background(), keep)
+	assert.NilError(t, err)
+	assert.Equal(t, removed, 0)
+	m.clock += store.Clock((keep + sweepGrace).Milliseconds()) + 1
+	removed, err = k.sweep(context.Background(), keep)
+	assert.NilError(t, err)
+	assert.Equal(t, removed, 2)
+	assert.Equal(t, len(m.objects), 0)
+	for address := range m.rows {
+		assert.Assert(t, strings.HasPrefix(string(address.Key), "open") || address.Table == tableLedger, "%v is left", address)
+	}
+	_, err = k.Results(context.Background(), "done", 0, 1000)
+	assert.ErrorIs(t, err, ErrNotFound)
+}
--- /dev/null
+++ b/internal/batch/fake_test.go
@@ -0,0 +1,146 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"rhubarbrudder/internal/store"
+)
+
+// memory is a store in memory whose commits can be made to fail.
+type memory struct {
+	mu       sync.Mutex
+	rows     map[store.Address]store.Row
+	objects  map[string][]byte
+	revision store.Revision
+	clock    store.Clock
+	// faults are taken by the next commits: nil commits; ErrUnknown commits and says so, any other error does not commit.
+	faults []error
+	// late holds transactions that took no effect yet.
+	late []store.Transaction
+}
+
+func newMemory() *memory {
+	return &memory{
+		rows:    map[store.Address]store.Row{},
+		objects: map[string][]byte{},
+		clock:   1000,
+	}
+}
+
+func (m *memory) Commit(_ context.Context, txn store.Transaction) (store.Commit, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var fault error
+	if len(m.faults) > 0 {
+		fault, m.faults = m.faults[0], m.faults[1:]
+	}
+	if errors.Is(fault, errLate) {
+		m.late = append(m.late, txn)
+		return store.Commit{}, store.ErrUnknown
+	}
+	if fault != nil && !errors.Is(fault, store.ErrUnknown) {
+		return store.Commit{}, fault
+	}
+	commit, err := m.apply(txn)
+	if err == nil && fault != nil {
+		return store.Commit{}, fault
+	}
+	return commit, err
+}
+
+// apply applies a transaction; the lock is held.
+func (m *memory) apply(txn store.Transaction) (store.Commit, error) {
+	for _, expect := range txn.Expect {
+		if m.rows[expect.Address].Revision != expect.Revision {
+			return store.Commit{}, store.ErrConflict
+		}
+	}
+	m.revision++
+	for _, put := range txn.Put {
+		m.rows[put.Address] = store.Row{
+			Address:  put.Address,
+			Value:    put.Value,
+			Revision: m.revision,
+		}
+	}
+	for _, address := range txn.Remove {
+		delete(m.rows, address)
+	}
+	return store.Commit{
+		Revision: m.revision,
+		Clock:    m.clock,
+	}, nil
+}
+
+// settle lets late transactions take effect, if they still can.
+func (m *memory) settle() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	applied := 0
+	for _, txn := range m.late {
+		if _, err := m.apply(txn); err == nil {
+			applied++
+		}
+	}
+	m.late = nil
+	return applied
+}
+
+func (m *memory) Read(_ context.Context, r store.Range) (store.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	page := store.Page{
+		Revision: m.revision,
+		Clock:    m.clock,
+	}
+	for address, row := range m.rows {
+		if address.Table == r.Table && address.Part == r.Part && address.Key >= r.From && (r.To == "" || address.Key < r.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b store.Row) int {
+		return cmp.Compare(a.Address.Key, b.Address.Key)
+	})
+	const pageRows = 5
+	if len(page.Rows) > pageRows {
+		page.Rows = page.Rows[:pageRows]
+		page.More = true
+	}
+	return page, nil
+}
+
+func (m *memory) Changes(context.Context, store.Table, store.Revision, time.Duration) (store.Page, error) {
+	return store.Page{}, store.ErrUnavailable
+}
+
+func (m *memory) PutObject(_ context.Context, name string, data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, is := m.objects[name]; is {
+		return store.ErrConflict
+	}
+	m.objects[name] = data
+	return nil
+}
+
+func (m *memory) Object(_ context.Context, name string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, is := m.objects[name]
+	if !is {
+		return nil, store.ErrNotFound
+	}
+	return data, nil
+}
+
+func (m *memory) DropObject(_ context.Context, name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.objects, name)
+	return nil
+}
--- a/internal/batch/keeper.go
+++ b/internal/batch/keeper.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	m := newManifest(s, to)
+	m := newManifest(s, to, len(chunks))
 	uncertain := false
 	timeout := firstTimeout
 	for {
@@ -124,7 +124,7 @@
 	return ErrNotAccepted
 }
 
-func newManifest(s Submission, to *route.Route) manifest {
+func newManifest(s Submission, to *route.Route, chunks int) manifest {
 	m := manifest{
 		Host:     s.Host,
 		Path:     s.Path,
@@ -132,6 +132,9 @@
 		Abandon:  to.Abandon,
 		Attempts: to.Attempts,
 	}
+	if chunks <= maxChunks {
+		m.Chunks = chunks
+	}
 	for _, item := range s.Items {
 		m.Items = append(m.Items, manifestItem{
 			ID:     item.ID,
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -85,9 +85,7 @@
 
 // insert writes a job that must not exist yet.
 func (l *ledger) insert(ctx context.Context, id JobID, m manifest, c claim, chunks [][]byte, also store.Transaction) (store.Commit, error) {
-	m.Chunks = len(chunks)
-	if len(chunks) > maxChunks {
-		m.Chunks = 0
+	if m.Chunks == 0 {
 		if err := l.store.PutObject(ctx, objectName(id), bytes.Join(chunks, nil)); err != nil && !errors.Is(err, store.ErrConflict) {
 			return store.Commit{}, err
 		}
--- a/internal/batch/warden.go
+++ b/internal/batch/warden.go
@@ -141,10 +141,13 @@
 	duty     func() bool
 	log      *slog.Logger
 	absences *Absences
+	// keep is how long a job's results stay readable after its submission.
+	keep  time.Duration
+	swept time.Time
 }
 
-// NewWarden returns a warden.
-func NewWarden(keeper *Keeper, list Roster, caller pool.Caller, duty func() bool, log *slog.Logger) *Warden {
+// NewWarden returns a warden of jobs whose results are kept for a time after submission.
+func NewWarden(keeper *Keeper, list Roster, caller pool.Caller, duty func() bool, keep time.Duration, log *slog.Logger) *Warden {
 	return &Warden{
 		keeper:   keeper,
 		roster:   list,
@@ -152,6 +155,8 @@
 		duty:     duty,
 		log:      log,
 		absences: NewAbsences(),
+		keep:     keep,
+		swept:    time.Now(),
 	}
 }
 
@@ -163,6 +168,21 @@
 			continue
 		}
 		w.scan(ctx)
+		w.sweep(ctx)
+	}
+}
+
+// sweep removes old jobs from time to time.
+func (w *Warden) sweep(ctx context.Context) {
+	if time.Since(w.swept) < sweepPeriod {
+		return
+	}
+	w.swept = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, sweepPeriod)
+	defer cancel()
+	removed, err := w.keeper.sweep(ctx, w.keep)
+	if removed > 0 || err != nil {
+		w.log.Info("jobs removed", "jobs", removed, "err", err)
 	}
 }
 
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -9,13 +9,14 @@
 	"github.com/tailscale/hujson"
 
 	"rhubarbrudder/internal/settings"
+	"rhubarbrudder/internal/vm"
 )
 
 func newCheck() *cobra.Command {
 	return &cobra.Command{
 		Use:     "check FILE...",
 		Short:   "Check settings files and sections of the document, and start nothing",
-		Long:    "Check settings files and sections of the document, as \"document get\" prints them, and start nothing.\nEvery fault is printed with its file, line and field, and what is expected.\n\n" + exitCodes,
+		Long:    "Check settings files, of the three processes or of a VM on the users' platform, and sections of the document, as \"document get\" prints them, and start nothing.\nEvery fault is printed with its file, line and field, and what is expected.\n\n" + exitCodes,
 		Example: "  rhubarbrudder check vm.jsonc\n  rhubarbrudder check capacity.jsonc models.jsonc",
 		Args:    usage(cobra.MinimumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -46,6 +47,10 @@
 		_, err := readSection(path)
 		return err
 	}
+	if parsed, err := hujson.Parse(data); err == nil && parsed.Find("/Listen") != nil {
+		_, err := vm.ParseSettings(path, data)
+		return err
+	}
 	_, err = settings.Parse(path, data)
 	return err
 }
--- /dev/null
+++ b/internal/forward/event_test.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestEvents(t *testing.T) {
+	long := strings.Repeat("x", 3*eventBuffer)
+	tests := map[string]struct {
+		stream string
+		ids    []int64
+		data   []string
+		end    error
+	}{
+		"two events": {
+			stream: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+			ids:    []int64{1, 2},
+			data:   []string{"a", "b"},
+			end:    io.EOF,
+		},
+		"carriage returns and a line of another kind": {
+			stream: "x-weight-versions: 3\r\nid:7\r\ndata:a\r\n\r\n",
+			ids:    []int64{7},
+			data:   []string{"a"},
+			end:    io.EOF,
+		},
+		"several data lines": {
+			stream: "id: 1\ndata: a\ndata: b\n\n",
+			ids:    []int64{1},
+			data:   []string{"a\nb"},
+			end:    io.EOF,
+		},
+		"longer than the buffer": {
+			stream: "id: 1\ndata: " + long + "\n\n",
+			ids:    []int64{1},
+			data:   []string{long},
+			end:    io.EOF,
+		},
+		"ends inside an event": {
+			stream: "id: 1\ndata: a\n\nid: 2\nda",
+			ids:    []int64{1},
+			data:   []string{"a"},
+			end:    io.ErrUnexpectedEOF,
+		},
+		"a number that is none": {
+			stream: "id: one\ndata: a\n\n",
+			end:    ErrEvent,
+		},
+		"nothing": {
+			end: io.EOF,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			events := NewEvents(iotest.OneByteReader(strings.NewReader(test.stream)))
+			var raw strings.Builder
+			for n := 0; ; n++ {
+				event, err := events.Next()
+				if err != nil {
+					assert.Assert(t, errors.Is(err, test.end), "%v", err)
+					assert.Equal(t, n, len(test.ids))
+					break
+				}
+				assert.Equal(t, event.ID, test.ids[n])
+				assert.Equal(t, string(event.Data), test.data[n])
+				raw.Write(event.Raw)
+			}
+			assert.Assert(t, strings.HasPrefix(test.stream, raw.String()))
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,12 +26,18 @@
 	Left(id inventory.ID) bool
 }
 
+// Recorder counts requests that ended.
+type Recorder interface {
+	Request(kind route.Kind, outcome string, waited, first time.Duration)
+}
+
 // Forwarder serves online requests.
 type Forwarder struct {
 	pools     Pools
 	inventory Inventory
 	sender    *Sender
 	headers   Headers
+	recorder  Recorder
 	log       *slog.Logger
 }
 
@@ -57,12 +63,13 @@
 )
 
 // New returns a forwarder.
-func New(pools Pools, list Inventory, sender *Sender, headers Headers, log *slog.Logger) *Forwarder {
+func New(pools Pools, list Inventory, sender *Sender, headers Headers, recorder Recorder, log *slog.Logger) *Forwarder {
 	return &Forwarder{
 		pools:     pools,
 		inventory: list,
 		sender:    sender,
 		headers:   headers,
+		recorder:  recorder,
 		log:       log,
 	}
 }
@@ -320,6 +327,7 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
+	s.recorder.Request(s.route.Kind, outcome, s.waited, s.first)
 	s.log.Info("request", "id", s.meta.ID, "route", s.route.Name, "outcome", outcome, "status", status,
 		"endpoint", s.at, "sends", s.sends, "runs", s.runs, "events", s.events,
 		"waited_ms", s.waited.Milliseconds(), "first_ms", s.first.Milliseconds(), "total_ms", time.Since(s.arrived).Milliseconds(), "err", err)
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -49,6 +49,14 @@
 	Detail  string
 }
 
+// NotRelayed is the reply of a VM that can't make the call.
+func NotRelayed() RelayReply {
+	return RelayReply{
+		Failure: relayUnavailable,
+		Detail:  "not relayed",
+	}
+}
+
 // Serve makes the call at the store.
 func (a RelayArgs) Serve(ctx context.Context, s Store) RelayReply {
 	ctx, cancel := context.WithTimeout(ctx, a.Within)
@@ -68,14 +76,22 @@
 	if err == nil {
 		return reply
 	}
-	reply.Failure = relayUnknown
 	reply.Detail = err.Error()
+	reply.Failure = failureOf(err)
+	return reply
+}
+
+// failureOf names the outcome of a call; an error that says nothing leaves it unknown.
+func failureOf(err error) string {
+	if errors.Is(err, ErrUnknown) {
+		return relayUnknown
+	}
 	for name, outcome := range relayOutcomes {
 		if errors.Is(err, outcome) {
-			reply.Failure = name
+			return name
 		}
 	}
-	return reply
+	return relayUnknown
 }
 
 // Err returns the failure as an error of this package.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -17,10 +17,15 @@
 
 // NewLogger returns a logger that writes a line of key=value pairs for each event at or above the level.
 func NewLogger(w io.Writer, level string) *slog.Logger {
-	var least slog.Level
+	least := &slog.LevelVar{}
 	if err := least.UnmarshalText([]byte(level)); err != nil {
-		least = slog.LevelInfo
+		least.Set(slog.LevelInfo)
 	}
+	return NewAdjustableLogger(w, least)
+}
+
+// NewAdjustableLogger returns such a logger whose level may change.
+func NewAdjustableLogger(w io.Writer, least *slog.LevelVar) *slog.Logger {
 	return slog.New(plainErrors{
 		Handler: slog.NewTextHandler(w, &slog.HandlerOptions{
 			Level: least,
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"rhubarbrudder/internal/pool"
@@ -43,6 +44,7 @@
 // exchange lets VMs that can't reach the store know and do what others can.
 type exchange struct {
 	self      pool.VMName
+	mu        sync.Mutex
 	seeds     []string
 	followers []*store.Follower
 	roster    *roster.Roster
@@ -68,8 +70,12 @@
 	return nil
 }
 
-// Relay makes a call at the store for another VM.
+// Relay makes a call at the store for another VM, unless the store does not answer this one either.
 func (e *Exchange) Relay(args store.RelayArgs, reply *store.RelayReply) error {
+	if e.exchange.blind() {
+		*reply = store.NotRelayed()
+		return nil
+	}
 	*reply = args.Serve(context.Background(), e.exchange.direct)
 	return nil
 }
@@ -133,7 +139,10 @@
 		addresses = append(addresses, vm.Address)
 	}
 	if len(addresses) == 0 {
-		for _, seed := range e.seeds {
+		e.mu.Lock()
+		seeds := e.seeds
+		e.mu.Unlock()
+		for _, seed := range seeds {
 			if seed != own {
 				addresses = append(addresses, seed)
 			}
@@ -145,6 +154,13 @@
 	return addresses[:min(relayTries, len(addresses))]
 }
 
+// setSeeds takes the addresses of VMs to ask when none is known.
+func (e *exchange) setSeeds(seeds []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeds = seeds
+}
+
 // Relay makes a call at the store through another VM.
 func (e *exchange) Relay(ctx context.Context, args store.RelayArgs) (store.RelayReply, error) {
 	for _, address := range e.peers() {
--- /dev/null
+++ b/internal/vm/metrics.go
@@ -0,0 +1,109 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"rhubarbrudder/internal/route"
+	"rhubarbrudder/internal/store"
+)
+
+// secondsBounds are the bounds of latency histograms in seconds, close around the objectives of some hundred milliseconds.
+var secondsBounds = []float64{0.05, 0.075, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.75, 1, 2, 5, 10}
+
+// metrics are the process's counters and histograms.
+type metrics struct {
+	requests metric.Int64Counter
+	first    metric.Float64Histogram
+	waited   metric.Float64Histogram
+	calls    metric.Int64Counter
+	callTime metric.Float64Histogram
+}
+
+func newMetrics(meter metric.Meter) (*metrics, error) {
+	bounds := metric.WithExplicitBucketBoundaries(secondsBounds...)
+	seconds := metric.WithUnit("s")
+	requests, requestsErr := meter.Int64Counter("rhubarbrudder.requests", metric.WithDescription("Requests by kind of route and outcome."))
+	first, firstErr := meter.Float64Histogram("rhubarbrudder.request.first", bounds, seconds, metric.WithDescription("Time to the first part of an answer, by kind of route."))
+	waited, waitedErr := meter.Float64Histogram("rhubarbrudder.request.waited", bounds, seconds, metric.WithDescription("Time that a request waited for a slot, by kind of route."))
+	calls, callsErr := meter.Int64Counter("rhubarbrudder.store.calls", metric.WithDescription("Calls to the store by operation and outcome."))
+	callTime, callTimeErr := meter.Float64Histogram("rhubarbrudder.store.call", bounds, seconds, metric.WithDescription("Time of calls to the store by operation."))
+	return &metrics{
+		requests: requests,
+		first:    first,
+		waited:   waited,
+		calls:    calls,
+		callTime: callTime,
+	}, errors.Join(requestsErr, firstErr, waitedErr, callsErr, callTimeErr)
+}
+
+// Request counts a request that ended.
+func (m *metrics) Request(kind route.Kind, outcome string, waited, first time.Duration) {
+	ctx := context.Background()
+	of := attribute.String("kind", string(kind))
+	m.requests.Add(ctx, 1, metric.WithAttributes(of, attribute.String("outcome", outcome)))
+	m.waited.Record(ctx, waited.Seconds(), metric.WithAttributes(of))
+	if first > 0 {
+		m.first.Record(ctx, first.Seconds(), metric.WithAttributes(of))
+	}
+}
+
+// countedStore counts the calls to a store.
+type countedStore struct {
+	store.Store
+	metrics *metrics
+}
+
+func (c countedStore) count(operation string, begun time.Time, err error) {
+	ctx := context.Background()
+	of := attribute.String("operation", operation)
+	c.metrics.calls.Add(ctx, 1, metric.WithAttributes(of, attribute.String("outcome", outcomeOf(err))))
+	c.metrics.callTime.Record(ctx, time.Since(begun).Seconds(), metric.WithAttributes(of))
+}
+
+func outcomeOf(err error) string {
+	for name, kind := range map[string]error{
+		"conflict":    store.ErrConflict,
+		"unavailable": store.ErrUnavailable,
+		"unknown":     store.ErrUnknown,
+		"not found":   store.ErrNotFound,
+		"history":     store.ErrHistoryGone,
+		"invalid":     store.ErrInvalid,
+	} {
+		if errors.Is(err, kind) {
+			return name
+		}
+	}
+	if err != nil {
+		return "failed"
+	}
+	return "done"
+}
+
+// Commit counts a transaction.
+func (c countedStore) Commit(ctx context.Context, txn store.Transaction) (store.Commit, error) {
+	begun := time.Now()
+	commit, err := c.Store.Commit(ctx, txn)
+	c.count("commit", begun, err)
+	return commit, err
+}
+
+// Read counts a read.
+func (c countedStore) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	begun := time.Now()
+	page, err := c.Store.Read(ctx, r)
+	c.count("read", begun, err)
+	return page, err
+}
+
+// Changes counts a read of changes.
+func (c countedStore) Changes(ctx context.Context, table store.Table, after store.Revision, wait time.Duration) (store.Page, error) {
+	begun := time.Now()
+	page, err := c.Store.Changes(ctx, table, after, wait)
+	c.count("changes", begun, err)
+	return page, err
+}
--- /dev/null
+++ b/internal/vm/reload.go
@@ -0,0 +1,73 @@
+package vm
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"time"
+)
+
+// reloadPeriod is how often the settings file is looked at, as it may change without a signal.
+const reloadPeriod = 5 * time.Second
+
+// Reloader applies a settings file anew when it changed. What can't change while the process runs stays as it was.
+type Reloader struct {
+	path    string
+	process *Process
+	level   *slog.LevelVar
+	log     *slog.Logger
+	last    []byte
+}
+
+// NewReloader returns a reloader of the file that a process was started with.
+func NewReloader(path string, process *Process, level *slog.LevelVar, log *slog.Logger) *Reloader {
+	r := &Reloader{
+		path:    path,
+		process: process,
+		level:   level,
+		log:     log,
+	}
+	r.last, _ = os.ReadFile(path)
+	return r
+}
+
+// Run looks at the file at each signal, and every few seconds, until ctx ends.
+func (r *Reloader) Run(ctx context.Context, signals <-chan os.Signal) {
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			r.log.Info("reload asked for", "path", r.path)
+			r.reload()
+		case <-ticker.C:
+			r.reload()
+		}
+	}
+}
+
+// reload applies the file if it changed.
+func (r *Reloader) reload() {
+	data, err := os.ReadFile(r.path)
+	if err != nil {
+		r.log.Error("settings not read", "path", r.path, "err", err)
+		return
+	}
+	if bytes.Equal(data, r.last) {
+		return
+	}
+	r.last = data
+	s, err := ParseSettings(r.path, data)
+	if err != nil {
+		r.log.Error("settings not applied", "path", r.path, "err", err)
+		return
+	}
+	r.level.Set(s.Log.SlogLevel())
+	r.process.exchange.setSeeds(s.Seeds)
+	old := r.process.settings
+	restart := s.Name != old.Name || s.Listen != old.Listen || s.Limits != old.Limits || s.Store != old.Store || s.Batch != old.Batch || s.Peers != old.Peers || s.FailureDomain != old.FailureDomain
+	r.log.Info("settings reloaded", "path", r.path, "level", s.Log.Level, "seeds", len(s.Seeds), "rest_waits_for_restart", restart)
+}
--- a/internal/vm/settings.go
+++ b/internal/vm/settings.go
@@ -1,13 +1,16 @@
 package vm
 
 import (
+	"log/slog"
 	"os"
+	"time"
 
 	"github.com/samber/oops"
 
 	"rhubarbrudder/internal/inventory"
 	"rhubarbrudder/internal/jsonc"
 	"rhubarbrudder/internal/pool"
+	"rhubarbrudder/internal/settings"
 )
 
 // Settings is the settings file of a VM's process.
@@ -19,6 +22,7 @@
 	// Seeds are peer addresses of VMs that may run; they help a VM that starts while the store is away.
 	Seeds []string
 	Store StoreSettings
+	Batch BatchSettings
 	Peers PeerSettings
 	Log   LogSettings
 }
@@ -45,6 +49,12 @@
 	Address string `validate:"required,hostname_port"`
 }
 
+// BatchSettings says how batch jobs are kept.
+type BatchSettings struct {
+	// Keep is how long a job's results stay readable after its submission.
+	Keep settings.Duration
+}
+
 // PeerSettings says how the VMs know each other.
 type PeerSettings struct {
 	// Secret authenticates VMs to each other.
@@ -56,6 +66,9 @@
 	Level string `validate:"oneof=Debug Info Warn Error"`
 }
 
+// defaultKeep is for how long results are kept where the settings do not say.
+const defaultKeep = 10 * time.Minute
+
 // DefaultSettings returns the settings that a file changes.
 func DefaultSettings() Settings {
 	return Settings{
@@ -64,6 +77,9 @@
 			CoreSpeed: 1,
 			MemoryMB:  256,
 		},
+		Batch: BatchSettings{
+			Keep: settings.Duration(defaultKeep),
+		},
 		Log: LogSettings{
 			Level: "Info",
 		},
@@ -76,9 +92,23 @@
 	if err != nil {
 		return Settings{}, oops.In("vm").With("path", path).Wrap(err)
 	}
+	return ParseSettings(path, data)
+}
+
+// ParseSettings reads settings; name stands for the file in faults, which the error lists all.
+func ParseSettings(name string, data []byte) (Settings, error) {
 	loaded := DefaultSettings()
-	if faults := jsonc.Decode(path, data, &loaded); len(faults) > 0 {
+	if faults := jsonc.Decode(name, data, &loaded); len(faults) > 0 {
 		return Settings{}, faults
 	}
 	return loaded, nil
 }
+
+// SlogLevel returns the level below which nothing is logged.
+func (l LogSettings) SlogLevel() slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -22,6 +22,7 @@
 	"rhubarbrudder/internal/roster"
 	"rhubarbrudder/internal/route"
 	"rhubarbrudder/internal/store"
+	"rhubarbrudder/internal/telemetry"
 	"rhubarbrudder/platform"
 )
 
@@ -66,6 +67,8 @@
 	operator  *store.Follower
 	members   *store.Follower
 	exchange  *exchange
+	status    *telemetry.Status
+	metrics   *metrics
 	life      context.Context
 	end       context.CancelFunc
 }
@@ -80,7 +83,18 @@
 		end:      end,
 		view:     route.NewView(log),
 	}
-	direct := platform.NewStore(storeClient(s.Listen.Peers), s.Store.Address)
+	status, err := telemetry.NewStatus("vm")
+	if err != nil {
+		return nil, oops.In("vm").Wrap(err)
+	}
+	p.status = status
+	if p.metrics, err = newMetrics(status.Meter()); err != nil {
+		return nil, oops.In("vm").Wrap(err)
+	}
+	direct := countedStore{
+		Store:   platform.NewStore(storeClient(s.Listen.Peers), s.Store.Address),
+		metrics: p.metrics,
+	}
 	self := roster.VM{
 		Name:        s.Name,
 		Incarnation: roster.Incarnation(uuid.NewString()),
@@ -124,7 +138,7 @@
 	}
 	p.peers = peer.NewServer(secret, log)
 	p.work(self, caller)
-	err := errors.Join(
+	err = errors.Join(
 		p.peers.Register(pool.ServiceName, p.stewards),
 		p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)),
 		p.peers.Register(exchangeName, &Exchange{exchange: p.exchange}),
@@ -157,10 +171,10 @@
 	log := p.log
 	sender := forward.NewSender(platform.Headers{})
 	p.keeper = batch.NewKeeper(p.life, self, p.store, p.view, p.pools, p.inventory, sender, log)
-	p.warden = batch.NewWarden(p.keeper, p.roster, caller, p.pools.Holds, log)
+	p.warden = batch.NewWarden(p.keeper, p.roster, caller, p.pools.Holds, time.Duration(p.settings.Batch.Keep), log)
 	p.front = &front{
 		view:      p.view,
-		forwarder: forward.New(p.pools, p.inventory, sender, platform.Headers{}, log),
+		forwarder: forward.New(p.pools, p.inventory, sender, platform.Headers{}, p.metrics, log),
 		keeper:    p.keeper,
 		log:       log,
 	}
@@ -202,11 +216,22 @@
 		Handler:           http.HandlerFunc(p.serveReady),
 		ReadHeaderTimeout: headerTime,
 	}
+	metrics := &http.Server{
+		Handler:           p.status.Handler(),
+		ReadHeaderTimeout: headerTime,
+	}
 	for _, each := range []struct {
 		address string
 		serve   func(net.Listener) error
 		stop    func()
 	}{
+		{
+			address: p.settings.Listen.Metrics,
+			serve:   metrics.Serve,
+			stop: func() {
+				_ = metrics.Close()
+			},
+		},
 		{
 			address: p.settings.Listen.Callers,
 			serve:   p.callers.Serve,
@@ -227,6 +252,9 @@
 			stop:    p.peers.Close,
 		},
 	} {
+		if each.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", each.address)
 		if err != nil {
 			return oops.In("vm").With("address", each.address).Wrap(err)
--- a/internal/vmcli/vmcli.go
+++ b/internal/vmcli/vmcli.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -29,7 +30,6 @@
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
 	var path string
 	root := &cobra.Command{
 		Use:           "rhubarbrudder-vm",
@@ -58,10 +58,15 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB<<20)))
 	lines := telemetry.NewBoundedWriter(os.Stdout)
 	defer lines.Close()
-	log := telemetry.NewLogger(lines, settings.Log.Level)
+	level := &slog.LevelVar{}
+	level.Set(settings.Log.SlogLevel())
+	log := telemetry.NewAdjustableLogger(lines, level)
 	process, err := vm.New(settings, log)
 	if err != nil {
 		return err
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go vm.NewReloader(path, process, level, log).Run(ctx, hangups)
 	return process.Run(ctx)
 }
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +29,7 @@
 	portCallers = 8161
 	portReady   = 8167
 	portPeers   = 8166
+	portMetrics = 9464
 )
 
 // runOctet is the third octet of loopback addresses, so that two runs of the tests on one machine rarely meet.
@@ -181,27 +183,37 @@
 	})
 }
 
-// start starts a VM's process.
-func (c *cluster) start(i int) {
+// writeSettings writes a VM's settings, with some of a test's own, and returns the file.
+func (c *cluster) writeSettings(i int, more map[string]any) string {
 	c.t.Helper()
-	path, err := binary()
-	assert.NilError(c.t, err)
 	name := fmt.Sprintf("vm-%d", i)
 	file := filepath.Join(c.folder, name+".jsonc")
-	made, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"Name":          name,
 		"FailureDomain": "a",
 		"Listen": map[string]any{
 			"Callers": c.address(11+i, portCallers),
 			"Ready":   c.address(11+i, portReady),
 			"Peers":   c.address(11+i, portPeers),
+			"Metrics": c.address(11+i, portMetrics),
 		},
 		"Seeds": []string{c.address(11, portPeers), c.address(12, portPeers)},
 		"Store": map[string]any{"Address": c.address(1, portStore)},
 		"Peers": map[string]any{"Secret": "test"},
-	})
+	}
+	maps.Copy(fields, more)
+	made, err := json.Marshal(fields)
 	assert.NilError(c.t, err)
 	assert.NilError(c.t, os.WriteFile(file, made, 0o600))
+	return file
+}
+
+// start starts a VM's process.
+func (c *cluster) start(i int) {
+	c.t.Helper()
+	path, err := binary()
+	assert.NilError(c.t, err)
+	file := c.writeSettings(i, nil)
 	command := exec.Command(path, "--settings", file)
 	command.Stdout = c.logs[i]
 	command.Stderr = c.logs[i]
--- a/test/platform/online_test.go
+++ b/test/platform/online_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -217,7 +218,7 @@
 		},
 	}
 	status := func(vm int) int {
-		return c.send(vm, http.MethodPost, "/added/x", fmt.Sprintf("%d", time.Now().UnixNano()), "").status
+		return c.send(vm, http.MethodPost, "/added/x", strconv.FormatInt(time.Now().UnixNano(), 10), "").status
 	}
 	c.store.compact()
 	changed := time.Now()
@@ -245,3 +246,24 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, whole("away", 3))
 }
+
+// TestReload checks that changed settings are applied with a signal, that faulty ones change nothing, and that neither
+// disturbs a request.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	e := newEngineStandin("e0", 4, 20, 50*time.Millisecond)
+	c := newCluster(t, 143, 1, e)
+	got := make(chan answer, 1)
+	go func() { got <- c.send(0, http.MethodPost, "/once/x", "r", "") }()
+	c.writeSettings(0, map[string]any{"Log": map[string]any{"Level": "Debug"}})
+	c.signal(0, syscall.SIGHUP)
+	c.wait("settings reloaded", func() bool {
+		return strings.Contains(c.logs[0].String(), "msg=\"settings reloaded\"")
+	})
+	c.writeSettings(0, map[string]any{"Log": map[string]any{"Level": "Loud"}})
+	c.signal(0, syscall.SIGHUP)
+	c.wait("fault reported", func() bool {
+		return strings.Contains(c.logs[0].String(), "msg=\"settings not applied\"")
+	})
+	assert.Equal(t, (<-got).body, whole("r", 20))
+}
--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -109,19 +109,6 @@
 	s.changed = make(chan struct{})
 }
 
-// table returns the rows of a table.
-func (s *storeStandin) table(name string) []wireRow {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var rows []wireRow
-	for key, row := range s.rows {
-		if key.Table == name {
-			rows = append(rows, row)
-		}
-	}
-	return rows
-}
-
 // apply applies a transaction; the lock is held.
 func (s *storeStandin) apply(puts, removes []wireRow) {
 	s.ver++
