--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -155,8 +155,11 @@
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
-		// The reply may still be written to; a connection that is late is given up.
-		p.drop(address, client)
+		// The reply may still be written to. A connection that is late is given up; one whose answer is not
+		// wanted any more is not, as other calls may be under way on it.
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			p.drop(address, client)
+		}
 		return errors.Join(ErrUnreachable, ctx.Err())
 	case <-call.Done:
 	}
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,13 @@
 	callSlack = 120 * time.Millisecond
 	// suspectFor is for how long a steward that failed to answer is passed over.
 	suspectFor = time.Second
+	// notReadyFor is for how long one is passed over that has only just started and reads the endpoints yet.
+	notReadyFor = 30 * time.Millisecond
+	// probeMost is how many VMs are asked at once whether they can hold the pool.
+	probeMost = 4
+	// probeGrace is how long a VM with a better rank is waited for once another one has answered: several times
+	// the way between failure domains and back.
+	probeGrace = 20 * time.Millisecond
 	// reviewPeriod is how often a VM looks whether a steward with a better rank answers again.
 	reviewPeriod = 250 * time.Millisecond
 )
@@ -196,7 +204,7 @@
 // Run keeps a session with the best steward that answers until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		to := c.choose()
+		to := c.elect(ctx)
 		err := c.serve(ctx, to)
 		if err != nil && ctx.Err() == nil {
 			c.suspect(to.VM, err)
@@ -204,30 +212,103 @@
 	}
 }
 
-// choose returns the best VM that is not suspected, or this VM if all are.
-func (c *Client) choose() Member {
+// candidates returns the VMs that are not suspected, the best first, or this VM if all are.
+func (c *Client) candidates() []Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	var able []Member
 	for _, m := range c.members.Ranked(c.service) {
 		if now.After(c.suspects[m.VM]) {
-			return m
+			able = append(able, m)
 		}
 	}
+	if len(able) == 0 {
+		return []Member{c.self}
+	}
+	return able
+}
+
+// elect asks the best candidates all at once, as some may be gone without a sign, and returns the best that answers.
+func (c *Client) elect(ctx context.Context) Member {
+	able := c.candidates()
+	able = able[:min(probeMost, len(able))]
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	answered := make([]chan error, len(able))
+	first := make(chan struct{}, len(able))
+	for i, m := range able {
+		answered[i] = make(chan error, 1)
+		go func() {
+			err := c.ping(ctx, m)
+			if err == nil {
+				first <- struct{}{}
+			}
+			answered[i] <- err
+		}()
+	}
+	grace := make(chan struct{})
+	go func() {
+		select {
+		case <-first:
+			pause(ctx, probeGrace)
+		case <-ctx.Done():
+		}
+		close(grace)
+	}()
+	for i, m := range able {
+		if err := answerWithin(answered[i], grace); err != nil {
+			c.suspect(m.VM, err)
+			continue
+		}
+		return m
+	}
 	return c.self
 }
 
+// answerWithin returns an answer, or errSlow if there is none when the grace ends.
+func answerWithin(answered <-chan error, grace <-chan struct{}) error {
+	select {
+	case err := <-answered:
+		return err
+	case <-grace:
+	}
+	select {
+	case err := <-answered:
+		return err
+	default:
+		return errSlow
+	}
+}
+
+func (c *Client) ping(ctx context.Context, m Member) error {
+	var reply Reply
+	if err := c.call(ctx, m, MethodPing, PingArgs{Service: c.service}, &reply); err != nil {
+		return err
+	}
+	if reply.Retiring {
+		return errRetiring
+	}
+	return nil
+}
+
 func (c *Client) suspect(vm VMName, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.suspects[vm] = time.Now().Add(suspectFor)
-	c.log.Warn("steward lost", "service", c.service, "steward", vm, "err", err)
+	rest := suspectFor
+	// Errors keep no more than their text on the way between VMs.
+	if strings.Contains(err.Error(), ErrNotReady.Error()) {
+		rest = notReadyFor
+	}
+	c.suspects[vm] = time.Now().Add(rest)
+	c.log.Warn("steward lost", "service", c.service, "steward", vm, "rest_ms", rest.Milliseconds(), "err", err)
 }
 
-// errRetiring and errUnknown end a session with a steward that is well.
+// errRetiring and errUnknown end a session with a steward that is well; errSlow passes over one that others outran.
 var (
 	errRetiring = errors.New("pool: steward retires")
 	errUnknown  = errors.New("pool: steward does not know the session")
+	errSlow     = errors.New("pool: steward answers late")
 )
 
 // serve keeps a session with a steward until it fails or a better one is at hand.
@@ -237,7 +318,7 @@
 	if err := c.tell(ctx, to, full); err != nil {
 		if to.VM == c.self.VM {
 			// Nobody else answers and this VM does not know the endpoints yet.
-			pause(ctx, reviewPeriod)
+			pause(ctx, notReadyFor)
 		}
 		return err
 	}
@@ -256,8 +337,10 @@
 
 // talk tells the steward what changes.
 func (c *Client) talk(ctx context.Context, to Member, from From) error {
-	review := time.NewTicker(reviewPeriod)
-	defer review.Stop()
+	better := make(chan struct{})
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go c.review(ctx, to, better)
 	for {
 		select {
 		case <-ctx.Done():
@@ -266,16 +349,39 @@
 			if err := c.tell(ctx, to, c.changes(from)); err != nil {
 				return err
 			}
-		case <-review.C:
-			if c.choose().VM == to.VM {
-				continue
-			}
+		case <-better:
 			c.leave(ctx, to, from)
 			return nil
 		}
 	}
 }
 
+// review closes better once a VM with a better rank can hold the pool. It asks beside the talk, which it must not hold up.
+func (c *Client) review(ctx context.Context, steward Member, better chan<- struct{}) {
+	for ctx.Err() == nil {
+		pause(ctx, reviewPeriod)
+		if ctx.Err() == nil && c.outranked(ctx, steward) {
+			close(better)
+			return
+		}
+	}
+}
+
+// outranked says whether a VM with a better rank than the steward's can hold the pool.
+func (c *Client) outranked(ctx context.Context, steward Member) bool {
+	best := c.candidates()[0]
+	if best.VM == steward.VM {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	err := c.ping(ctx, best)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		c.suspect(best.VM, err)
+	}
+	return err == nil
+}
+
 func (c *Client) leave(ctx context.Context, to Member, from From) {
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
@@ -325,6 +431,8 @@
 		return c.local.Listen(a, reply)
 	case LeaveArgs:
 		return c.local.Leave(a, reply)
+	case PingArgs:
+		return c.local.Ping(a, reply)
 	}
 	return errUnknown
 }
--- /dev/null
+++ b/internal/pool/client_test.go
@@ -0,0 +1,218 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/inventory"
+	"rhubarbrudder/internal/route"
+)
+
+// fleet is VMs in one process whose calls to each other can be cut, silenced and delayed.
+type fleet struct {
+	mu       sync.Mutex
+	ranked   []Member
+	stewards map[VMName]*Stewards
+	// gone VMs refuse connections, silent ones answer nothing.
+	gone   map[VMName]bool
+	silent map[VMName]bool
+}
+
+// fixed is an inventory that never changes.
+type fixed struct {
+	list   []inventory.Endpoint
+	loaded bool
+}
+
+func (f fixed) Of(route.Service) []inventory.Endpoint { return f.list }
+func (f fixed) Loaded() bool                          { return f.loaded }
+
+func newFleet(vms, slots int) *fleet {
+	f := &fleet{
+		stewards: map[VMName]*Stewards{},
+		gone:     map[VMName]bool{},
+		silent:   map[VMName]bool{},
+	}
+	for n := range vms {
+		name := VMName(strconv.Itoa(n))
+		f.ranked = append(f.ranked, Member{
+			VM:      name,
+			Address: string(name),
+		})
+		f.stewards[name] = NewStewards(fixed{
+			list:   endpoints(slots, "e"),
+			loaded: true,
+		}, slog.New(slog.DiscardHandler))
+	}
+	return f
+}
+
+func (f *fleet) Ranked(route.Service) []Member { return f.ranked }
+
+func (f *fleet) set(change func(f *fleet)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fleet) Call(ctx context.Context, address, method string, args, reply any) error {
+	f.mu.Lock()
+	to := f.stewards[VMName(address)]
+	gone, silent := f.gone[VMName(address)], f.silent[VMName(address)]
+	f.mu.Unlock()
+	if gone {
+		return errors.New("refused")
+	}
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	r := reply.(*Reply)
+	switch method {
+	case MethodTell:
+		return to.Tell(args.(TellArgs), r)
+	case MethodListen:
+		return to.Listen(args.(ListenArgs), r)
+	case MethodLeave:
+		return to.Leave(args.(LeaveArgs), r)
+	case MethodPing:
+		return to.Ping(args.(PingArgs), r)
+	}
+	return fmt.Errorf("no method %s", method)
+}
+
+// client starts the client of a VM.
+func (f *fleet) client(ctx context.Context, vm VMName) *Client {
+	c := NewClient(Member{VM: vm, Address: string(vm)}, "a", "s", f, f, f.stewards[vm], slog.New(slog.DiscardHandler))
+	go c.Run(ctx)
+	return c
+}
+
+func wishFor(id string, in time.Duration) Wish {
+	return Wish{
+		ID:      TicketID(id),
+		Start:   time.Now().Add(in),
+		Expires: time.Now().Add(in),
+	}
+}
+
+// play runs a test in simulated time with clients of all VMs.
+func playFleet(t *testing.T, vms, slots int, do func(ctx context.Context, f *fleet, clients []*Client)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		f := newFleet(vms, slots)
+		var clients []*Client
+		for _, m := range f.ranked {
+			clients = append(clients, f.client(ctx, m.VM))
+		}
+		time.Sleep(time.Second)
+		do(ctx, f, clients)
+	})
+}
+
+// TestOneQueue checks that all VMs share the slots of one steward.
+func TestOneQueue(t *testing.T) {
+	playFleet(t, 3, 1, func(ctx context.Context, _ *fleet, clients []*Client) {
+		slot, err := clients[1].Acquire(ctx, wishFor("a", time.Second))
+		assert.NilError(t, err)
+		_, err = clients[2].Acquire(ctx, wishFor("b", 100*time.Millisecond))
+		var refused *Refused
+		assert.Assert(t, errors.As(err, &refused))
+		slot.Release(TroubleNone)
+		_, err = clients[2].Acquire(ctx, wishFor("c", 100*time.Millisecond))
+		assert.NilError(t, err)
+	})
+}
+
+// TestStewardLost checks how long a request waits when its steward is gone or silent, and the next ones as well: it must
+// still be on time, which is 300 ms less some 60 ms for its first event.
+func TestStewardLost(t *testing.T) {
+	tests := map[string]func(f *fleet){
+		"one gone": func(f *fleet) {
+			f.gone["0"] = true
+		},
+		"one silent": func(f *fleet) {
+			f.silent["0"] = true
+		},
+		"three silent": func(f *fleet) {
+			f.silent["0"] = true
+			f.silent["1"] = true
+			f.silent["2"] = true
+		},
+	}
+	for name, lose := range tests {
+		t.Run(name, func(t *testing.T) {
+			playFleet(t, 5, 4, func(ctx context.Context, f *fleet, clients []*Client) {
+				f.set(lose)
+				begun := time.Now()
+				_, err := clients[4].Acquire(ctx, wishFor("a", time.Second))
+				assert.NilError(t, err)
+				assert.Assert(t, time.Since(begun) < 240*time.Millisecond, "%v", time.Since(begun))
+			})
+		})
+	}
+}
+
+// TestNewStewardKnowsWhatRuns checks that slots held before a steward was lost still count at the next one.
+func TestNewStewardKnowsWhatRuns(t *testing.T) {
+	playFleet(t, 3, 1, func(ctx context.Context, f *fleet, clients []*Client) {
+		held, err := clients[1].Acquire(ctx, wishFor("a", time.Second))
+		assert.NilError(t, err)
+		f.set(func(f *fleet) { f.gone["0"] = true })
+		time.Sleep(500 * time.Millisecond)
+		_, err = clients[2].Acquire(ctx, wishFor("b", 200*time.Millisecond))
+		var refused *Refused
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
+		held.Release(TroubleNone)
+		_, err = clients[2].Acquire(ctx, wishFor("c", 200*time.Millisecond))
+		assert.NilError(t, err)
+		// The best one is back: all go to it, and still nothing runs twice.
+		f.set(func(f *fleet) { f.gone["0"] = false })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, clients[1].Steward(), VMName("0"))
+		_, err = clients[1].Acquire(ctx, wishFor("d", 200*time.Millisecond))
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
+	})
+}
+
+// TestRetiringSteward checks that VMs go to another one before a steward stops.
+func TestRetiringSteward(t *testing.T) {
+	playFleet(t, 3, 4, func(ctx context.Context, f *fleet, clients []*Client) {
+		f.stewards["0"].Retire()
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, clients[0].Steward(), VMName("1"))
+		assert.Equal(t, clients[2].Steward(), VMName("1"))
+		_, err := clients[2].Acquire(ctx, wishFor("a", time.Second))
+		assert.NilError(t, err)
+	})
+}
+
+// TestCallerWhoLeaves checks that the slot of a request whose caller left while it waited is free again.
+func TestCallerWhoLeaves(t *testing.T) {
+	playFleet(t, 2, 1, func(ctx context.Context, _ *fleet, clients []*Client) {
+		held, err := clients[0].Acquire(ctx, wishFor("a", time.Second))
+		assert.NilError(t, err)
+		leaving, leave := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer leave()
+		_, err = clients[1].Acquire(leaving, wishFor("b", time.Second))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		held.Release(TroubleNone)
+		_, err = clients[0].Acquire(ctx, wishFor("c", 100*time.Millisecond))
+		assert.NilError(t, err)
+	})
+}
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -13,6 +13,7 @@
 	MethodTell   = "Pool.Tell"
 	MethodListen = "Pool.Listen"
 	MethodLeave  = "Pool.Leave"
+	MethodPing   = "Pool.Ping"
 )
 
 // Session names what one VM told one steward since it last registered.
@@ -64,6 +65,11 @@
 	Wait time.Duration
 }
 
+// PingArgs asks whether a VM can hold a pool.
+type PingArgs struct {
+	Service route.Service
+}
+
 // LeaveArgs ends a session.
 type LeaveArgs struct {
 	From From
--- a/internal/pool/steward.go
+++ b/internal/pool/steward.go
@@ -112,6 +112,13 @@
 	return nil
 }
 
+// Ping answers whether this VM can hold the pool of a service.
+func (s *Stewards) Ping(args PingArgs, reply *Reply) error {
+	_, retiring, err := s.steward(args.Service)
+	reply.Retiring = retiring
+	return err
+}
+
 // Leave ends a VM's session.
 func (s *Stewards) Leave(args LeaveArgs, _ *Reply) error {
 	st, _, err := s.steward(args.From.Service)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -73,6 +73,13 @@
 	end       context.CancelFunc
 }
 
+// connections are those to other VMs, by use.
+type connections struct {
+	pools    *peer.Pool
+	batch    *peer.Pool
+	exchange *peer.Pool
+}
+
 // New returns a process that has not started.
 func New(s Settings, log *slog.Logger) (*Process, error) {
 	life, end := context.WithCancel(context.Background())
@@ -112,13 +119,18 @@
 	p.operator = store.NewFollower(direct, platform.TableOperator, configSink{process: p}, log)
 	p.members = store.NewFollower(direct, roster.Table, p.roster, log)
 	secret := peer.Secret(s.Peers.Secret)
-	caller := peer.NewPool(secret)
+	// Each use has connections of its own: a call that is late gives up its connection, with all calls on it.
+	callers := connections{
+		pools:    peer.NewPool(secret),
+		batch:    peer.NewPool(secret),
+		exchange: peer.NewPool(secret),
+	}
 	p.exchange = &exchange{
 		self:      self.Name,
 		seeds:     s.Seeds,
 		followers: []*store.Follower{p.operator, p.endpoints, p.members},
 		roster:    p.roster,
-		caller:    caller,
+		caller:    callers.exchange,
 		direct:    direct,
 		log:       log,
 	}
@@ -130,14 +142,14 @@
 		},
 		domain:  s.FailureDomain,
 		roster:  p.roster,
-		caller:  caller,
+		caller:  callers.pools,
 		local:   p.stewards,
 		log:     log,
 		life:    life,
 		clients: map[route.Service]*pool.Client{},
 	}
 	p.peers = peer.NewServer(secret, log)
-	p.work(self, caller)
+	p.work(self, callers.batch)
 	err = errors.Join(
 		p.peers.Register(pool.ServiceName, p.stewards),
 		p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)),
