--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -73,13 +73,6 @@
 	end       context.CancelFunc
 }
 
-// connections are those to other VMs, by use.
-type connections struct {
-	pools    *peer.Pool
-	batch    *peer.Pool
-	exchange *peer.Pool
-}
-
 // New returns a process that has not started.
 func New(s Settings, log *slog.Logger) (*Process, error) {
 	life, end := context.WithCancel(context.Background())
@@ -108,6 +101,20 @@
 		Address:     s.Listen.Peers,
 		Cores:       s.Limits.CoreShare * s.Limits.CoreSpeed,
 	}
+	p.know(self, direct)
+	batchCaller := p.reach(self, direct)
+	p.work(self, batchCaller)
+	err = errors.Join(
+		p.peers.Register(pool.ServiceName, p.stewards),
+		p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)),
+		p.peers.Register(exchangeName, &Exchange{exchange: p.exchange}),
+	)
+	return p, oops.In("vm").Wrap(err)
+}
+
+// know makes what this VM knows of the fleet, and what keeps it up to date.
+func (p *Process) know(self roster.VM, direct store.Store) {
+	log := p.log
 	p.roster = roster.New(self, log)
 	p.inventory = inventory.New(func() time.Duration {
 		return p.endpoints.SinceLoss()
@@ -118,19 +125,20 @@
 	p.endpoints = store.NewFollower(direct, platform.TableEndpoints, endpointSink{process: p}, log)
 	p.operator = store.NewFollower(direct, platform.TableOperator, configSink{process: p}, log)
 	p.members = store.NewFollower(direct, roster.Table, p.roster, log)
-	secret := peer.Secret(s.Peers.Secret)
-	// Each use has connections of its own: a call that is late gives up its connection, with all calls on it.
-	callers := connections{
-		pools:    peer.NewPool(secret),
-		batch:    peer.NewPool(secret),
-		exchange: peer.NewPool(secret),
-	}
+}
+
+// reach makes what calls other VMs, and returns the caller for batch jobs. Each use has connections of its own: a call
+// that is late gives up its connection, with all calls on it.
+func (p *Process) reach(self roster.VM, direct store.Store) pool.Caller {
+	log := p.log
+	secret := peer.Secret(p.settings.Peers.Secret)
+	p.peers = peer.NewServer(secret, log)
 	p.exchange = &exchange{
 		self:      self.Name,
-		seeds:     s.Seeds,
+		seeds:     p.settings.Seeds,
 		followers: []*store.Follower{p.operator, p.endpoints, p.members},
 		roster:    p.roster,
-		caller:    callers.exchange,
+		caller:    peer.NewPool(secret),
 		direct:    direct,
 		log:       log,
 	}
@@ -140,22 +148,15 @@
 			VM:      self.Name,
 			Address: self.Address,
 		},
-		domain:  s.FailureDomain,
+		domain:  p.settings.FailureDomain,
 		roster:  p.roster,
-		caller:  callers.pools,
+		caller:  peer.NewPool(secret),
 		local:   p.stewards,
 		log:     log,
-		life:    life,
+		life:    p.life,
 		clients: map[route.Service]*pool.Client{},
 	}
-	p.peers = peer.NewServer(secret, log)
-	p.work(self, callers.batch)
-	err = errors.Join(
-		p.peers.Register(pool.ServiceName, p.stewards),
-		p.peers.Register(batch.ServiceName, batch.NewService(p.keeper)),
-		p.peers.Register(exchangeName, &Exchange{exchange: p.exchange}),
-	)
-	return p, oops.In("vm").Wrap(err)
+	return peer.NewPool(secret)
 }
 
 // storeClient returns a client whose connections come from the VM's own address.
