--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -42,6 +42,8 @@
 	online, onTime, refused int
 	items, itemsDue         int
 	revoked                 int
+	// refusedSoon are those refused within a quarter of the objective.
+	refusedSoon int
 	// longestWait is the longest wait of an online ticket that was granted.
 	longestWait time.Duration
 }
@@ -188,7 +190,7 @@
 		Class:   r.class,
 		Start:   start,
 		Expires: expires,
-	})
+	}, s.start.Add(s.now))
 }
 
 func (s *sim) decide() {
@@ -205,6 +207,9 @@
 			s.ask(r)
 		case OutcomeRefuse:
 			s.got.refused++
+			if s.now-r.arrived <= simObjective/4 {
+				s.got.refusedSoon++
+			}
 		}
 	}
 }
@@ -274,6 +279,25 @@
 	}
 }
 
+// TestFarTooManyRequests plays rises of more than twice what the slots can serve. Who can't be served must hear so soon, with
+// no fewer served than the slots can serve.
+func TestFarTooManyRequests(t *testing.T) {
+	for seed := range uint64(5) {
+		got := play(t, load{
+			endpoints: 4,
+			slots:     8,
+			low:       16,
+			high:      90,
+			length:    60 * time.Second,
+			seed:      seed,
+		})
+		t.Logf("seed %d: %+v", seed, got)
+		assert.Assert(t, got.onTimeShare() > 0.55, "seed %d: %+v", seed, got)
+		assert.Assert(t, got.refused > 0)
+		assert.Assert(t, float64(got.refusedSoon) > 0.5*float64(got.refused), "seed %d: %+v", seed, got)
+	}
+}
+
 // TestEndpointLostUnderLoad takes an endpoint away in the middle of the day.
 func TestEndpointLostUnderLoad(t *testing.T) {
 	got := play(t, load{
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -78,6 +80,19 @@
 	OutcomeRefuse
 )
 
+// String names the decision, for logs.
+func (k OutcomeKind) String() string {
+	switch k {
+	case OutcomeGrant:
+		return "grant"
+	case OutcomeRevoke:
+		return "revoke"
+	case OutcomeRefuse:
+		return "refuse"
+	}
+	return "unknown"
+}
+
 // Outcome is a decision for a VM.
 type Outcome struct {
 	Kind   OutcomeKind
@@ -106,9 +121,22 @@
 )
 
 const (
-	// retryAfter is the pause that a refused caller is asked to make: about the time in which a full pool
-	// turns over once, as a generation takes about a second.
+	// retryAfter is the pause that a refused caller is asked to make where nothing better is known: about the time in
+	// which a full pool turns over once, as a generation takes about a second.
 	retryAfter = 500 * time.Millisecond
+	// retryLeast and retryMost bound it: a shorter pause meets the same queue, and callers wait no longer than a third
+	// of the few seconds that they have.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 1500 * time.Millisecond
+	// firstRun is taken for the length of an online run until some were seen.
+	firstRun = 800 * time.Millisecond
+	// runWeight is the weight of the newest run in their average length: some fifty runs count, about a second's.
+	runWeight = 0.02
+	// arrivalsOver is the time over which online arrivals are counted: shorter than a rise, longer than its noise.
+	arrivalsOver = 500 * time.Millisecond
+	// spareLeast is the least part of all slots that late requests are expected to get while those that can be
+	// on time go first.
+	spareLeast = 0.35
 	// restUnreachable, restBroken and restFull are for how long an endpoint gets no new work after trouble; each
 	// further trouble in a row doubles it up to restMost.
 	restUnreachable = 500 * time.Millisecond
@@ -137,6 +165,11 @@
 	runs      map[key]*run
 	outcomes  []Outcome
 	turn      int
+	// meanRun is the average length of online runs.
+	meanRun time.Duration
+	// arrivals is the number of online asks in the last arrivalsOver, decaying, as of countedAt.
+	arrivals  float64
+	countedAt time.Time
 }
 
 // New returns a pool without endpoints.
@@ -145,6 +178,7 @@
 		endpoints: map[inventory.ID]*endpoint{},
 		waiting:   map[key]Class{},
 		runs:      map[key]*run{},
+		meanRun:   firstRun,
 	}
 }
 
@@ -187,10 +221,14 @@
 }
 
 // Ask adds a ticket; one that is known already is left as it is.
-func (p *Pool) Ask(t Ticket) {
+func (p *Pool) Ask(t Ticket, now time.Time) {
 	if _, waits := p.waiting[t.key()]; waits || p.runs[t.key()] != nil {
 		return
 	}
+	if t.Class == ClassOnline {
+		p.decay(now)
+		p.arrivals++
+	}
 	p.waiting[t.key()] = t.Class
 	queue := p.queue(t.Class)
 	at, _ := slices.BinarySearchFunc(*queue, t, compareTickets)
@@ -249,6 +287,9 @@
 	if r.revoked.IsZero() {
 		e.running--
 	}
+	if r.ticket.Class == ClassOnline && trouble == TroubleNone {
+		p.meanRun += time.Duration(runWeight * float64(now.Sub(r.since)-p.meanRun))
+	}
 	e.observe(trouble, now)
 }
 
@@ -275,6 +316,7 @@
 func (p *Pool) Decide(now time.Time) []Outcome {
 	p.expire(now)
 	p.grantOnline(now)
+	p.refuseHopeless(now)
 	p.grantBatch(now)
 	outcomes := p.outcomes
 	p.outcomes = nil
@@ -291,6 +333,17 @@
 	return len(p.online), len(p.batch), len(p.runs)
 }
 
+// Slots returns how many runs the endpoints that take new work may have.
+func (p *Pool) Slots(now time.Time) int {
+	slots := 0
+	for _, e := range p.order {
+		if e.takes(Ticket{}, now) {
+			slots += e.limit()
+		}
+	}
+	return slots
+}
+
 func (p *Pool) queue(class Class) *[]Ticket {
 	if class == ClassOnline {
 		return &p.online
@@ -307,6 +360,77 @@
 	)
 }
 
+// decay lets online arrivals that are long ago count less.
+func (p *Pool) decay(now time.Time) {
+	if since := now.Sub(p.countedAt); since > 0 {
+		p.arrivals *= math.Exp(-float64(since) / float64(arrivalsOver))
+	}
+	p.countedAt = now
+}
+
+// refuseHopeless refuses online tickets for which no slot will be free in their time, as soon as that shows: their callers
+// can come back when the rise is over, rather than wait in vain.
+func (p *Pool) refuseHopeless(now time.Time) {
+	slots := p.capacity()
+	if len(p.online) == 0 || slots == 0 {
+		return
+	}
+	p.decay(now)
+	rate := float64(slots) / p.meanRun.Seconds()
+	spare := max(spareLeast*rate, rate-p.arrivals/arrivalsOver.Seconds())
+	waitingOnTime := 0
+	for _, t := range p.online {
+		if !t.late(now) {
+			waitingOnTime++
+		}
+	}
+	left := p.online[:0]
+	ahead, late := 0, 0
+	for _, t := range p.online {
+		inTime := !t.late(now) && !now.Add(seconds(float64(ahead+1)/rate)).After(t.Start)
+		wait := seconds(float64(waitingOnTime+late+1) / spare)
+		if !inTime && now.Add(wait).After(t.Expires) {
+			p.refuse(t, wait)
+			continue
+		}
+		left = append(left, t)
+		if inTime {
+			ahead++
+		} else {
+			late++
+		}
+	}
+	p.online = left
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
+
+// capacity returns how many runs the endpoints have room for, also those that rest for a moment.
+func (p *Pool) capacity() int {
+	slots := 0
+	for _, e := range p.order {
+		if !e.gone && !e.Leaving {
+			slots += e.limit()
+		}
+	}
+	return slots
+}
+
+// refuse refuses a ticket that was taken from its queue; its caller is asked to come back when the queue of now is served.
+func (p *Pool) refuse(t Ticket, wait time.Duration) {
+	delete(p.waiting, t.key())
+	// A third more or less spreads those who are refused at once.
+	wait = time.Duration(float64(wait) * (2.0/3 + rand.Float64()*2/3))
+	p.outcomes = append(p.outcomes, Outcome{
+		Kind:       OutcomeRefuse,
+		VM:         t.VM,
+		Ticket:     t.ID,
+		RetryAfter: min(max(wait, retryLeast), retryMost),
+	})
+}
+
 func (p *Pool) expire(now time.Time) {
 	for _, class := range []Class{ClassOnline, ClassBatch} {
 		queue := p.queue(class)
@@ -314,13 +438,7 @@
 			if now.Before(t.Expires) {
 				return false
 			}
-			delete(p.waiting, t.key())
-			p.outcomes = append(p.outcomes, Outcome{
-				Kind:       OutcomeRefuse,
-				VM:         t.VM,
-				Ticket:     t.ID,
-				RetryAfter: retryAfter,
-			})
+			p.refuse(t, retryAfter)
 			return true
 		})
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -37,9 +37,9 @@
 	now := time.Now()
 	p := New()
 	p.SetEndpoints(endpoints(2, "a"))
-	p.Ask(ticket("old", "job/item.0", ClassBatch, now, time.Second))
+	p.Ask(ticket("old", "job/item.0", ClassBatch, now, time.Second), now)
 	assert.Equal(t, len(p.Decide(now)), 1)
-	p.Ask(ticket("new", "job/item.0", ClassBatch, now, time.Second))
+	p.Ask(ticket("new", "job/item.0", ClassBatch, now, time.Second), now)
 	outcomes := p.Decide(now)
 	assert.Equal(t, len(outcomes), 1)
 	assert.Equal(t, outcomes[0].VM, VMName("new"))
@@ -52,9 +52,9 @@
 	now := time.Now()
 	p := New()
 	p.SetEndpoints(endpoints(1, "a"))
-	p.Ask(ticket("v", "batch", ClassBatch, now, time.Second))
+	p.Ask(ticket("v", "batch", ClassBatch, now, time.Second), now)
 	p.Decide(now)
-	p.Ask(ticket("v", "online", ClassOnline, now, 200*time.Millisecond))
+	p.Ask(ticket("v", "online", ClassOnline, now, 200*time.Millisecond), now)
 	outcomes := p.Decide(now)
 	assert.Equal(t, len(outcomes), 2)
 	assert.Equal(t, outcomes[0].Kind, OutcomeRevoke)
@@ -63,7 +63,7 @@
 	assert.Equal(t, outcomes[1].Endpoint.ID, inventory.ID("a"))
 	// The revoked run occupies nothing: its return frees no second slot.
 	p.Release("v", "batch", TroubleNone, now)
-	p.Ask(ticket("v", "batch.1", ClassBatch, now, time.Second))
+	p.Ask(ticket("v", "batch.1", ClassBatch, now, time.Second), now)
 	assert.Equal(t, len(p.Decide(now)), 0)
 	p.Release("v", "online", TroubleNone, now)
 	outcomes = p.Decide(now)
@@ -129,7 +129,7 @@
 			p := New()
 			p.SetEndpoints(test.endpoints)
 			for _, each := range test.tickets {
-				p.Ask(each)
+				p.Ask(each, now)
 			}
 			got := map[TicketID]inventory.ID{}
 			for _, outcome := range p.Decide(now) {
@@ -146,7 +146,7 @@
 	p := New()
 	p.SetEndpoints(endpoints(4, "a", "b", "c"))
 	for _, id := range []TicketID{"1", "2", "3", "4", "5", "6"} {
-		p.Ask(ticket("v", id, ClassOnline, now, time.Second))
+		p.Ask(ticket("v", id, ClassOnline, now, time.Second), now)
 	}
 	count := map[inventory.ID]int{}
 	for _, outcome := range p.Decide(now) {
@@ -158,7 +158,7 @@
 func TestRefusedWhenTimeIsUp(t *testing.T) {
 	now := time.Now()
 	p := New()
-	p.Ask(ticket("v", "one", ClassOnline, now, 100*time.Millisecond))
+	p.Ask(ticket("v", "one", ClassOnline, now, 100*time.Millisecond), now)
 	assert.Equal(t, len(p.Decide(now)), 0)
 	outcomes := p.Decide(now.Add(2 * time.Second))
 	assert.Equal(t, len(outcomes), 1)
@@ -172,18 +172,18 @@
 	now := time.Now()
 	p := New()
 	p.SetEndpoints(endpoints(8, "a"))
-	p.Ask(ticket("v", "one", ClassOnline, now, time.Second))
+	p.Ask(ticket("v", "one", ClassOnline, now, time.Second), now)
 	p.Decide(now)
 	p.Release("v", "one", TroubleUnreachable, now)
-	p.Ask(ticket("v", "two", ClassOnline, now, time.Minute))
-	p.Ask(ticket("v", "three", ClassOnline, now, time.Minute))
+	p.Ask(ticket("v", "two", ClassOnline, now, time.Minute), now)
+	p.Ask(ticket("v", "three", ClassOnline, now, time.Minute), now)
 	assert.Equal(t, len(p.Decide(now)), 0)
 	now = now.Add(restUnreachable)
 	assert.Equal(t, len(p.Decide(now)), 1)
 	p.Release("v", "two", TroubleNone, now)
 	p.Release("v", "three", TroubleNone, now)
-	p.Ask(ticket("v", "four", ClassOnline, now, time.Minute))
-	p.Ask(ticket("v", "five", ClassOnline, now, time.Minute))
+	p.Ask(ticket("v", "four", ClassOnline, now, time.Minute), now)
+	p.Ask(ticket("v", "five", ClassOnline, now, time.Minute), now)
 	assert.Equal(t, len(p.Decide(now)), 2)
 }
 
@@ -192,7 +192,7 @@
 	p := New()
 	p.SetEndpoints(endpoints(1, "a"))
 	p.Hold(ticket("v", "one", ClassOnline, now, time.Second), "a", now)
-	p.Ask(ticket("w", "two", ClassOnline, now, time.Second))
+	p.Ask(ticket("w", "two", ClassOnline, now, time.Second), now)
 	assert.Equal(t, len(p.Decide(now)), 0)
 	p.Forget("v", now)
 	assert.Equal(t, len(p.Decide(now)), 1)
--- a/internal/pool/steward.go
+++ b/internal/pool/steward.go
@@ -179,7 +179,7 @@
 		st.pool.Hold(held.Ask.ticket(args, now), held.Endpoint, now)
 	}
 	for _, ask := range args.Asks {
-		st.pool.Ask(ask.ticket(args, now))
+		st.pool.Ask(ask.ticket(args, now), now)
 	}
 	st.decide(now)
 	reply.Outcomes = from.take()
@@ -253,6 +253,9 @@
 // decide hands the pool's outcomes to the sessions; the lock is held.
 func (st *steward) decide(now time.Time) {
 	for _, outcome := range st.pool.Decide(now) {
+		online, batch, running := st.pool.Counts()
+		st.log.Info("slot decision", "ticket", outcome.Ticket, "vm", outcome.VM, "decision", outcome.Kind, "endpoint", outcome.Endpoint.ID,
+			"online_waiting", online, "batch_waiting", batch, "running", running, "slots", st.pool.Slots(now), "vms", len(st.sessions))
 		to := st.sessions[outcome.VM]
 		if to == nil {
 			continue
