--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -136,7 +136,9 @@
 	arrivalsOver = 500 * time.Millisecond
 	// spareLeast is the least part of all slots that late requests are expected to get while those that can be
 	// on time go first.
-	spareLeast = 0.35
+	spareLeast = 0.3
+	// arrivalsLeast is how many arrivals must be counted for their rate to say anything.
+	arrivalsLeast = 8
 	// restUnreachable, restBroken and restFull are for how long an endpoint gets no new work after trouble; each
 	// further trouble in a row doubles it up to restMost.
 	restUnreachable = 500 * time.Millisecond
@@ -377,7 +379,10 @@
 	}
 	p.decay(now)
 	rate := float64(slots) / p.meanRun.Seconds()
-	spare := max(spareLeast*rate, rate-p.arrivals/arrivalsOver.Seconds())
+	spare := rate
+	if p.arrivals >= arrivalsLeast {
+		spare = max(spareLeast*rate, rate-p.arrivals/arrivalsOver.Seconds())
+	}
 	waitingOnTime := 0
 	for _, t := range p.online {
 		if !t.late(now) {
@@ -388,7 +393,12 @@
 	ahead, late := 0, 0
 	for _, t := range p.online {
 		inTime := !t.late(now) && !now.Add(seconds(float64(ahead+1)/rate)).After(t.Start)
-		wait := seconds(float64(waitingOnTime+late+1) / spare)
+		// Once late, a ticket waits behind all that can be on time, itself not counted, and those late before it.
+		before := waitingOnTime + late
+		if !t.late(now) {
+			before--
+		}
+		wait := seconds(float64(before+1) / spare)
 		if !inTime && now.Add(wait).After(t.Expires) {
 			p.refuse(t, wait)
 			continue
