--- a/spec/check.sh
+++ b/spec/check.sh
@@ -61,5 +61,11 @@
   search document safety caught -D$mutant
 done
 
+search claim safety holds
+search claim safety holds -DLOSSES=1 -DTAKEOVERS=3 -DENDS=1
+for mutant in NO_EXPECT NO_CLAIM_CHECK RELIST_BLINDLY; do
+  search claim safety caught -D$mutant
+done
+
 echo "model checks: $passed as wanted, $failed not"
 [ "$failed" -eq 0 ]
