--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -290,7 +291,7 @@
 	events := forward.NewEvents(response.Body)
 	for {
 		event, err := events.Next()
-		if errors.Is(err, forward.EndOfStream) {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -11,9 +11,6 @@
 // ErrEvent means that a stream holds something that is no event.
 var ErrEvent = errors.New("forward: not an event")
 
-// EndOfStream is the end of a stream that is whole.
-var EndOfStream = io.EOF
-
 // maxEventBytes bounds an event; events of generations are some hundred bytes.
 const maxEventBytes = 1 << 20
 
--- /dev/null
+++ b/internal/pool/elect.go
@@ -0,0 +1,126 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+)
+
+// candidates returns the VMs that are not suspected, the best first, or this VM if all are.
+func (c *Client) candidates() []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	var able []Member
+	for _, m := range c.members.Ranked(c.service) {
+		if now.After(c.suspects[m.VM]) {
+			able = append(able, m)
+		}
+	}
+	if len(able) == 0 {
+		return []Member{c.self}
+	}
+	return able
+}
+
+// elect asks the best candidates all at once, as some may be gone without a sign, and returns the best that answers.
+func (c *Client) elect(ctx context.Context) Member {
+	able := c.candidates()
+	able = able[:min(probeMost, len(able))]
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	answered := make([]chan error, len(able))
+	first := make(chan struct{}, len(able))
+	for i, m := range able {
+		answered[i] = make(chan error, 1)
+		go func() {
+			err := c.ping(ctx, m)
+			if err == nil {
+				first <- struct{}{}
+			}
+			answered[i] <- err
+		}()
+	}
+	grace := make(chan struct{})
+	go func() {
+		select {
+		case <-first:
+			pause(ctx, probeGrace)
+		case <-ctx.Done():
+		}
+		close(grace)
+	}()
+	for i, m := range able {
+		if err := answerWithin(answered[i], grace); err != nil {
+			c.suspect(m.VM, err)
+			continue
+		}
+		return m
+	}
+	return c.self
+}
+
+// answerWithin returns an answer, or errSlow if there is none when the grace ends.
+func answerWithin(answered <-chan error, grace <-chan struct{}) error {
+	select {
+	case err := <-answered:
+		return err
+	case <-grace:
+	}
+	select {
+	case err := <-answered:
+		return err
+	default:
+		return errSlow
+	}
+}
+
+func (c *Client) ping(ctx context.Context, m Member) error {
+	var reply Reply
+	if err := c.call(ctx, m, MethodPing, PingArgs{Service: c.service}, &reply); err != nil {
+		return err
+	}
+	if reply.Retiring {
+		return errRetiring
+	}
+	return nil
+}
+
+func (c *Client) suspect(vm VMName, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rest := suspectFor
+	// Errors keep no more than their text on the way between VMs.
+	if strings.Contains(err.Error(), ErrNotReady.Error()) {
+		rest = notReadyFor
+	}
+	c.suspects[vm] = time.Now().Add(rest)
+	c.log.Warn("steward lost", "service", c.service, "steward", vm, "rest_ms", rest.Milliseconds(), "err", err)
+}
+
+// review closes better once a VM with a better rank can hold the pool. It asks beside the talk, which it must not hold up.
+func (c *Client) review(ctx context.Context, steward Member, better chan<- struct{}) {
+	for ctx.Err() == nil {
+		pause(ctx, reviewPeriod)
+		if ctx.Err() == nil && c.outranked(ctx, steward) {
+			close(better)
+			return
+		}
+	}
+}
+
+// outranked says whether a VM with a better rank than the steward's can hold the pool.
+func (c *Client) outranked(ctx context.Context, steward Member) bool {
+	best := c.candidates()[0]
+	if best.VM == steward.VM {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	err := c.ping(ctx, best)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		c.suspect(best.VM, err)
+	}
+	return err == nil
+}
