--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -128,6 +128,15 @@
 	cut    map[string]bool
 	// traffic is nil if bytes are not counted.
 	traffic *Traffic
+	// keepCancelled keeps a connection when a call on it was cancelled.
+	keepCancelled bool
+}
+
+// KeepCancelled keeps connections on which a call was cancelled, as other calls may be under way on them; the cancelled
+// one may still run. It must come before the first call.
+func (p *Pool) KeepCancelled() *Pool {
+	p.keepCancelled = true
+	return p
 }
 
 // NewPool returns a pool without connections.
@@ -155,9 +164,8 @@
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
-		// The reply may still be written to. A connection that is late is given up; one whose answer is not
-		// wanted any more is not, as other calls may be under way on it.
-		if !errors.Is(ctx.Err(), context.Canceled) {
+		// The reply may still be written to; a connection that is late is given up.
+		if !p.keepCancelled || !errors.Is(ctx.Err(), context.Canceled) {
 			p.drop(address, client)
 		}
 		return errors.Join(ErrUnreachable, ctx.Err())
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -138,7 +138,7 @@
 		seeds:     p.settings.Seeds,
 		followers: []*store.Follower{p.operator, p.endpoints, p.members},
 		roster:    p.roster,
-		caller:    peer.NewPool(secret),
+		caller:    peer.NewPool(secret).KeepCancelled(),
 		direct:    direct,
 		log:       log,
 	}
@@ -150,13 +150,13 @@
 		},
 		domain:  p.settings.FailureDomain,
 		roster:  p.roster,
-		caller:  peer.NewPool(secret),
+		caller:  peer.NewPool(secret).KeepCancelled(),
 		local:   p.stewards,
 		log:     log,
 		life:    p.life,
 		clients: map[route.Service]*pool.Client{},
 	}
-	return peer.NewPool(secret)
+	return peer.NewPool(secret).KeepCancelled()
 }
 
 // storeClient returns a client whose connections come from the VM's own address.
