--- a/internal/vmcli/vmcli.go
+++ b/internal/vmcli/vmcli.go
@@ -14,11 +14,10 @@
 
 	"rhubarbrudder/internal/telemetry"
 	"rhubarbrudder/internal/vm"
+	"rhubarbrudder/platform"
 )
 
 const (
-	// settingsVariable holds the path of the settings file.
-	settingsVariable = "RHUBARBRUDDER_CONFIG"
 	// collectPercent is how much the heap grows between collections; the heap is a few megabytes, so that a small
 	// percentage saves memory at little processor time.
 	collectPercent = 50
@@ -41,7 +40,7 @@
 			return serve(cmd.Context(), path)
 		},
 	}
-	root.Flags().StringVar(&path, "settings", os.Getenv(settingsVariable), "settings file (by default from "+settingsVariable+")")
+	root.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "settings file (by default from "+platform.SettingsVariable+")")
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "Error:", err)
 		return 1
