Steward: a process that was frozen asks engines anew before it grants slots

Cause, found by reading: a woken dispatcher went on by its account of each engine as it was before the pause. Streams that ended while it slept freed its grants, and it gave those slots out again before it heard of the new steward that had filled them meanwhile: TestFrozenSteward's 'more at an engine than it has slots'. The first watch that finds a second without a look closes all accounts until the engine was asked again; an answer asked for before the pause is dropped.

Ruled out: kept connections of cancelled calls as the only cause - the account is stale with either.

--- a/internal/steward/account.go
+++ b/internal/steward/account.go
@@ -74,6 +74,13 @@
 	return !a.loadHeard.IsZero() || now.Sub(a.opened) > openGrace
 }
 
+// reopen forgets what was known of the endpoint's load, but not the process's own grants.
+func (a *account) reopen(now time.Time) {
+	a.opened = now
+	a.loadHeard = time.Time{}
+	a.loadAsked = time.Time{}
+}
+
 // note keeps what is accounted for now.
 func (a *account) note(now time.Time) {
 	for len(a.past) > 1 && now.Sub(a.past[1].at) > pastKept {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -38,6 +38,8 @@
 	accounts  map[endpoint.ID]*account
 	waiting   map[document.ServiceName][]*waiter
 	unowned   map[document.ServiceName]time.Time
+	// watched is when the endpoints were last looked at.
+	watched time.Time
 }
 
 // New returns a steward; notes may be nil.
@@ -51,6 +53,7 @@
 		accounts:  map[endpoint.ID]*account{},
 		waiting:   map[document.ServiceName][]*waiter{},
 		unowned:   map[document.ServiceName]time.Time{},
+		watched:   time.Now(),
 	}
 }
 
@@ -164,6 +167,7 @@
 
 // fill grants free slots of a service to those who wait, in their order.
 func (s *Steward) fill(service document.ServiceName, now time.Time) {
+	s.noticePause(now)
 	settings, ok := s.document.View().Services[service]
 	if !ok || len(s.waiting[service]) == 0 {
 		return
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -397,3 +397,42 @@
 		assert.ErrorIs(t, err, ErrNotOwner)
 	})
 }
+
+// A process that was frozen holds knowledge that may be minutes old: it grants nothing until the engine has been asked
+// again, and an answer to a question from before the pause does not count.
+func TestWokenStewardAsksFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running atomic.Int64
+		slow := make(chan struct{})
+		r := startRig(0, 0, 0, func() (endpoint.Load, error) {
+			load := endpoint.Load{Running: int(running.Load())}
+			if running.Load() == 0 {
+				<-slow
+			}
+			return load, nil
+		})
+		later(openGrace + time.Second)
+		for range 2 {
+			r.want()
+		}
+		synctest.Wait()
+		assert.Equal(t, r.running(), 2)
+
+		r.cancel()
+		later(10 * time.Second)
+		running.Store(8)
+		r.ctx, r.cancel = context.WithCancel(context.Background())
+		defer r.cancel()
+		for range 4 {
+			r.want()
+		}
+		synctest.Wait()
+		assert.Equal(t, r.running(), 0, "nothing by what was known before the pause")
+		go func() { _ = r.steward.Run(r.ctx) }()
+		close(slow)
+		synctest.Wait()
+		assert.Equal(t, r.running(), 0, "nor by an answer from before it")
+		later(openGrace + time.Second)
+		assert.Equal(t, r.running(), 0, "the engine is full of others' work")
+	})
+}
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -15,6 +15,9 @@
 	loadPeriod = time.Second
 	// loadTimeout bounds one question.
 	loadTimeout = time.Second
+	// pauseNoticed is the time without a look after which the process is taken to have been frozen: ten looks missed,
+	// far above what a busy machine delays a ticker, and below the time after which peers take over.
+	pauseNoticed = 10 * watchPeriod
 	// ownerPatience is how long Acquire waits for an endpoint of the service to become this process's.
 	ownerPatience = time.Second
 )
@@ -37,6 +40,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noticePause(now)
 	for name, service := range s.document.View().Services {
 		owned := s.owners.ownedOf(name)
 		s.sendAway(name, owned, now)
@@ -48,6 +52,17 @@
 	s.forget(now)
 }
 
+// noticePause closes all accounts after a time in which the process did not run: other stewards may have filled the
+// endpoints meanwhile, so their loads are asked for before anything is granted.
+func (s *Steward) noticePause(now time.Time) {
+	if now.Sub(s.watched) > pauseNoticed {
+		for _, a := range s.accounts {
+			a.reopen(now)
+		}
+	}
+	s.watched = now
+}
+
 func (s *Steward) watchEndpoint(ctx context.Context, target endpoint.Endpoint, service document.Service, now time.Time) {
 	a := s.account(target.ID, now)
 	s.yield(target.ID, a, now)
@@ -55,10 +70,10 @@
 		return
 	}
 	a.loadAsked = now
-	go s.ask(ctx, target)
+	go s.ask(ctx, target, now)
 }
 
-func (s *Steward) ask(ctx context.Context, target endpoint.Endpoint) {
+func (s *Steward) ask(ctx context.Context, target endpoint.Endpoint, asked time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	load, err := s.loads.Load(ctx, target)
@@ -68,7 +83,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noticePause(now)
 	a := s.account(target.ID, now)
+	if asked.Before(a.opened) {
+		return
+	}
 	a.takeLoad(now, load)
 	s.yield(target.ID, a, now)
 	s.fill(target.Service, now)
