VM: takes no requests in the last part of a shutdown, so that none is cut

Callers that hold a connection or dial the VM directly do that; balancers take it out after two seconds. Now it listens for 2.5 s as before, and leaves the rest to what runs (http.Server.Shutdown). TestShutdownUnderLoad fails without it: 8 of 8 callers had an answer cut.

Ruled out: idle connections (they are closed at the signal), and the engines, which had answered on. Peers.Announce names the address that other VMs call, for VMs behind a forwarder, as in the soak.

--- a/internal/vm/settings.go
+++ b/internal/vm/settings.go
@@ -59,6 +59,8 @@
 type PeerSettings struct {
 	// Secret authenticates VMs to each other.
 	Secret string `validate:"required"`
+	// Announce is where other VMs call this one, if that is not the address that it listens on.
+	Announce string `validate:"omitempty,hostname_port"`
 }
 
 // LogSettings says what is logged.
@@ -104,6 +106,14 @@
 	return loaded, nil
 }
 
+// announced returns the address that other VMs call.
+func (s Settings) announced() string {
+	if s.Peers.Announce != "" {
+		return s.Peers.Announce
+	}
+	return s.Listen.Peers
+}
+
 // SlogLevel returns the level below which nothing is logged.
 func (l LogSettings) SlogLevel() slog.Level {
 	var level slog.Level
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	// drainLeast is how long a VM that stops goes on serving: the balancer asks every second and takes a VM out after
-	// two answers that it is not ready.
+	// drainLeast is how long a VM that stops goes on taking requests: the balancer asks every second and takes a VM out
+	// after two answers that it is not ready. Then it takes none, so that what runs has the rest of the time.
 	drainLeast = 2500 * time.Millisecond
 	// drainMost is how long it goes on at most, inside the 8 s after which it is killed.
 	drainMost = 7300 * time.Millisecond
@@ -98,7 +98,7 @@
 	self := roster.VM{
 		Name:        s.Name,
 		Incarnation: roster.Incarnation(uuid.NewString()),
-		Address:     s.Listen.Peers,
+		Address:     s.announced(),
 		Cores:       s.Limits.CoreShare * s.Limits.CoreSpeed,
 	}
 	p.know(self, direct)
@@ -247,7 +247,7 @@
 		},
 		{
 			address: p.settings.Listen.Callers,
-			serve:   p.callers.Serve,
+			serve:   p.serveCallers,
 			stop: func() {
 				_ = p.callers.Close()
 			},
@@ -282,6 +282,15 @@
 	return nil
 }
 
+// serveCallers serves callers until the process ends; a shutdown of the server alone does not end it.
+func (p *Process) serveCallers(listener net.Listener) error {
+	err := p.callers.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-p.life.Done()
+	}
+	return err
+}
+
 // follow adds what keeps this VM up to date.
 func (p *Process) follow(group *run.Group) {
 	for _, work := range []func(context.Context){
@@ -313,10 +322,27 @@
 	// Idle connections are closed now: a caller that kept one would otherwise send on it until the very end.
 	p.callers.SetKeepAlivesEnabled(false)
 	p.stewards.Retire()
-	for time.Since(begun) < drainLeast || p.front.active.Load() > 0 && time.Since(begun) < drainMost {
+	for time.Since(begun) < drainLeast {
 		p.handOver()
 		time.Sleep(drainPoll)
 	}
+	ctx, cancel := context.WithTimeout(p.life, drainMost-drainLeast)
+	defer cancel()
+	answered := make(chan error, 1)
+	go func() { answered <- p.callers.Shutdown(ctx) }()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for ended := false; !ended; {
+		p.handOver()
+		select {
+		case err := <-answered:
+			ended = true
+			if err != nil {
+				p.log.Warn("requests cut off", "active", p.front.active.Load(), "err", err)
+			}
+		case <-ticker.C:
+		}
+	}
 	p.handOver()
 	p.log.Info("drained", "active", p.front.active.Load(), "took_ms", time.Since(begun).Milliseconds())
 }
--- a/test/platform/engine_test.go
+++ b/test/platform/engine_test.go
@@ -30,6 +30,14 @@
 	shed bool
 	// impossible lists items that can never be done.
 	impossible map[string]bool
+	// failing makes the engine answer with a failure, and hanging with nothing; slow times longer lasts an event.
+	failing bool
+	hanging bool
+	slow    int
+	// began is told of each run; nil tells nobody.
+	began func(engine, id string)
+	// failed is told of each failure that was answered; nil tells nobody.
+	failed func(id string)
 	// aborted counts requests whose connection closed while they ran.
 	aborted int
 }
@@ -44,6 +52,7 @@
 		runs:       map[string]int{},
 		impossible: map[string]bool{},
 		breakAt:    &atomic.Int64{},
+		slow:       1,
 	}
 }
 
@@ -74,12 +83,13 @@
 	e.arrivals[id]++
 	e.lastArrival = time.Now()
 	shed, impossible := e.shed, e.impossible[id]
+	name, failing, slots := e.id, e.failing, e.slots
 	e.mu.Unlock()
 	w.Header().Set("X-Attempt-Id", id)
-	w.Header().Set(signature, e.id+"/"+id)
-	w.Header().Set("X-Instance-Id", e.id)
+	w.Header().Set(signature, name+"/"+id)
+	w.Header().Set("X-Instance-Id", name)
 	switch {
-	case r.Header.Get("X-Expect-Instance") != e.id:
+	case r.Header.Get("X-Expect-Instance") != name:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case shed:
@@ -88,35 +98,68 @@
 		return
 	}
 	select {
-	case e.slots <- struct{}{}:
+	case slots <- struct{}{}:
 	case <-r.Context().Done():
 		return
 	}
-	defer func() { <-e.slots }()
+	defer func() { <-slots }()
 	e.set(func(e *engineStandin) {
 		e.runs[id]++
 		e.running++
 		e.most = max(e.most, e.running)
 	})
 	defer e.set(func(e *engineStandin) { e.running-- })
+	if e.began != nil {
+		e.began(name, id)
+	}
+	if failing {
+		if e.failed != nil {
+			e.failed(id)
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if impossible {
 		w.WriteHeader(http.StatusUnprocessableEntity)
 		return
 	}
-	e.stream(w, r, id)
+	e.stream(w, r, name, id)
+}
+
+// stalled says that an engine sends nothing at present; one that was replaced breaks off what it had.
+func (e *engineStandin) stalled(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.id != name {
+		panic(http.ErrAbortHandler)
+	}
+	return e.hanging
 }
 
-func (e *engineStandin) stream(w http.ResponseWriter, r *http.Request, id string) {
+// replace puts an engine with another id and no runs in this one's place.
+func (e *engineStandin) replace(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.id = id
+	e.slots = make(chan struct{}, cap(e.slots))
+}
+
+func (e *engineStandin) stream(w http.ResponseWriter, r *http.Request, name, id string) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := after + 1; n <= e.events; n++ {
+		pause := e.pause * time.Duration(e.get(func(e *engineStandin) int { return e.slow }))
 		select {
-		case <-time.After(e.pause):
+		case <-time.After(pause):
 		case <-r.Context().Done():
 			e.set(func(e *engineStandin) { e.aborted++ })
 			return
 		}
+		if e.stalled(name) {
+			n--
+			continue
+		}
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventData(id, n))
 		if e.breakAt.CompareAndSwap(int64(n), 0) {
 			_, _ = w.Write([]byte(event[:len(event)/2]))
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -91,10 +91,20 @@
 	folder    string
 	version   int
 	maxBody   int
+	// settings returns further settings of a VM; nil has none.
+	settings func(i int) map[string]any
 }
 
 // newCluster starts VMs and engines; net is the second octet of their addresses, unique among tests that run at once.
 func newCluster(t *testing.T, net, vms int, engines ...*engineStandin) *cluster {
+	t.Helper()
+	c := newPlatform(t, net, engines...)
+	c.startAll(vms)
+	return c
+}
+
+// newPlatform starts engines and a store, and no VM.
+func newPlatform(t *testing.T, net int, engines ...*engineStandin) *cluster {
 	t.Helper()
 	c := &cluster{
 		t:       t,
@@ -111,6 +121,12 @@
 		c.serve(c.address(101+i, portEngine), e)
 		c.list(i, "ready")
 	}
+	return c
+}
+
+// startAll starts VMs and waits until all are ready.
+func (c *cluster) startAll(vms int) {
+	c.t.Helper()
 	for i := range vms {
 		c.processes = append(c.processes, nil)
 		c.logs = append(c.logs, &lockedBuffer{})
@@ -119,7 +135,6 @@
 	for i := range vms {
 		c.waitReady(i)
 	}
-	return c
 }
 
 func (c *cluster) ip(host int) string {
@@ -144,9 +159,14 @@
 
 // list writes an engine's entry.
 func (c *cluster) list(i int, state string) {
+	c.listAt(i, state, portEngine)
+}
+
+// listAt writes an engine's entry with a port.
+func (c *cluster) listAt(i int, state string, port int) {
 	c.store.put("servers", c.engines[i].id, map[string]any{
 		"service": "llm",
-		"address": c.address(101+i, portEngine),
+		"address": c.address(101+i, port),
 		"zone":    "a",
 		"slots":   cap(c.engines[i].slots),
 		"state":   state,
@@ -213,7 +233,11 @@
 	c.t.Helper()
 	path, err := binary()
 	assert.NilError(c.t, err)
-	file := c.writeSettings(i, nil)
+	var more map[string]any
+	if c.settings != nil {
+		more = c.settings(i)
+	}
+	file := c.writeSettings(i, more)
 	command := exec.Command(path, "--settings", file)
 	command.Stdout = c.logs[i]
 	command.Stderr = c.logs[i]
--- a/test/platform/online_test.go
+++ b/test/platform/online_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -179,6 +180,34 @@
 	assert.Assert(t, time.Since(begun) < 8*time.Second)
 }
 
+// TestShutdownUnderLoad checks that callers who go on sending to a VM that stops, until it takes no connection any more,
+// get a whole answer to each request that an engine ran.
+func TestShutdownUnderLoad(t *testing.T) {
+	t.Parallel()
+	e := newEngineStandin("e0", 16, 40, 20*time.Millisecond)
+	c := newCluster(t, 144, 2, e)
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				id := fmt.Sprintf("busy-%d-%d", caller, n)
+				got := c.send(0, http.MethodPost, "/once/x", id, "")
+				if e.get(func(e *engineStandin) int { return e.runs[id] }) == 0 {
+					return
+				}
+				assert.Check(t, got.err)
+				assert.Check(t, got.body == whole(id, 40), "%s: %q", id, got.body)
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	begun := time.Now()
+	c.signal(0, syscall.SIGTERM)
+	c.end(0)
+	assert.Assert(t, time.Since(begun) < 8*time.Second)
+	callers.Wait()
+}
+
 // TestEndpointLeaves checks that an engine that leaves, or whose entry is gone, gets nothing new after a moment.
 func TestEndpointLeaves(t *testing.T) {
 	t.Parallel()
--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -66,6 +66,8 @@
 	fault   func(ip, path string) fault
 	started time.Time
 	calls   map[string]int
+	// skew is by how much the store's clock is wrong.
+	skew time.Duration
 }
 
 func newStoreStandin() *storeStandin {
@@ -99,6 +101,13 @@
 	s.apply(nil, []wireRow{{Table: table, Key: key}})
 }
 
+// setSkew makes the store's clock wrong.
+func (s *storeStandin) setSkew(skew time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skew = skew
+}
+
 // compact drops the history.
 func (s *storeStandin) compact() {
 	s.mu.Lock()
@@ -236,7 +245,7 @@
 		"rows":    rows,
 		"hasMore": more,
 		"ver":     s.ver,
-		"nowMs":   time.Since(s.started).Milliseconds(),
+		"nowMs":   (time.Since(s.started) + s.skew).Milliseconds(),
 	})
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
