--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SPIN ?= spin
 GOLANGCI ?= golangci-lint
 
-.PHONY: build demo test fmt lint unit race spec bench
+.PHONY: build demo test fmt lint unit race spec bench soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -42,3 +42,10 @@
 	$(GO) test -run xxx -bench . -benchtime 1s ./...
 	./bin/loadtest harm
 	./bin/loadtest routing
+
+# soak plays fresh seeds of overlapping faults against real processes: make soak FROM=100 SEEDS=50 VMS=5
+FROM ?= 100
+SEEDS ?= 10
+VMS ?= 5
+soak:
+	$(GO) test -count=1 -timeout 2h ./test/platform -run TestSoak -v -soak.from $(FROM) -soak.seeds $(SEEDS) -soak.vms $(VMS)
