Pool: silent and slow endpoints are known by their own pace of events (under measurement)

An endpoint that sends nothing for 0.6 s, or whose first events take twice the mean, was given all its slots again after 100 ms. Now VMs tell the steward the time to a first event, and silence even where the request has to wait on; a silent endpoint gets one run, and twice as many with each sign of life; a slow one is the last choice for callers that wait. Silence counts only while most others answer.

--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -184,7 +184,7 @@
 	}
 	err = j.send(ctx, slot, item, progress)
 	if errors.Is(err, errRevoked) || ctx.Err() != nil {
-		slot.Release(pool.TroubleNone)
+		slot.Release(pool.TroubleUnknown)
 		return err
 	}
 	if errors.Is(err, errFailed) || errors.Is(err, errImpossible) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -94,10 +94,12 @@
 	avoid []inventory.ID
 	// started says that the answer has begun.
 	started bool
-	events  int
-	waited  time.Duration
-	first   time.Duration
-	at      inventory.ID
+	// began is called with the first sign of an answer of the current sending, and then nil.
+	began  func()
+	events int
+	waited time.Duration
+	first  time.Duration
+	at     inventory.ID
 }
 
 // Serve answers a request of the route; the body was read whole.
@@ -196,6 +198,16 @@
 	}
 	ctx, watch := NewWatch(ctx, first)
 	defer watch.Stop()
+	// A request that has to wait on at a silent endpoint still keeps others away from it.
+	silent := time.AfterFunc(stallFirst, func() {
+		slot.Observe(pool.TroubleSilent, 0)
+	})
+	defer silent.Stop()
+	sent := time.Now()
+	s.began = func() {
+		silent.Stop()
+		slot.Observe(pool.TroubleNone, time.Since(sent))
+	}
 	send := Send{
 		Left: time.Until(s.until),
 	}
@@ -232,6 +244,7 @@
 	if err != nil {
 		return brokenError(ctx, err)
 	}
+	s.began()
 	s.begin(response)
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	s.w.WriteHeader(response.StatusCode)
@@ -270,6 +283,10 @@
 			return brokenError(ctx, err)
 		}
 		watch.Feed(next)
+		if s.began != nil {
+			s.began()
+			s.began = nil
+		}
 		if event.HasID && s.meta.After > 0 && event.ID <= s.meta.After {
 			continue
 		}
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -200,6 +200,8 @@
 		return pool.TroubleUnreachable
 	case errors.Is(err, ErrNotRun):
 		return pool.TroubleFull
+	case errors.Is(err, ErrStalled):
+		return pool.TroubleSilent
 	}
 	return pool.TroubleBroken
 }
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -87,6 +87,16 @@
 	s.client.release(s.id, trouble)
 }
 
+// Observe tells the steward what was seen of the run: the time until its first event, or a trouble in spite of which it
+// goes on.
+func (s *Slot) Observe(trouble Trouble, first time.Duration) {
+	s.client.observe(Seen{
+		ID:      s.id,
+		Trouble: trouble,
+		First:   first,
+	})
+}
+
 // wish is a ticket's state at its VM.
 type wish struct {
 	Wish
@@ -110,6 +120,7 @@
 	mu        sync.Mutex
 	wishes    map[TicketID]*wish
 	asks      []TicketID
+	seen      []Seen
 	returned  []Returned
 	withdrawn []TicketID
 	session   Session
@@ -192,6 +203,16 @@
 	c.signal()
 }
 
+// observe tells a trouble at once, and times with what is told next.
+func (c *Client) observe(seen Seen) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen = append(c.seen, seen)
+	if seen.Trouble != TroubleNone {
+		c.signal()
+	}
+}
+
 func (c *Client) signal() {
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -13,8 +13,14 @@
 	running int
 	// troubles counts troubles since the last success.
 	troubles int
-	restsTo  time.Time
-	gone     bool
+	// trust is how many runs it may have after trouble; zero is as many as it has slots.
+	trust      int
+	troubledAt time.Time
+	restsTo    time.Time
+	gone       bool
+	// first is the average time to its latest first events, firstAt when the last came; zero if there was none.
+	first   time.Duration
+	firstAt time.Time
 }
 
 func (e *endpoint) better(than *endpoint, domain inventory.Domain) bool {
@@ -24,14 +30,23 @@
 	return e.Domain == domain && than.Domain != domain
 }
 
-// limit is how many runs the endpoint may have; one at a time after trouble, until a run succeeds.
+// limit is how many runs the endpoint may have: one after trouble, and more with each success.
 func (e *endpoint) limit() int {
-	if e.troubles > 0 {
-		return 1
+	if e.trust > 0 {
+		return min(e.trust, e.Slots)
 	}
 	return e.Slots
 }
 
+// succeed takes a sign that the endpoint works.
+func (e *endpoint) succeed() {
+	e.troubles = 0
+	e.trust *= trustStep
+	if e.trust >= e.Slots {
+		e.trust = 0
+	}
+}
+
 func (e *endpoint) takes(t Ticket, now time.Time) bool {
 	return !e.gone && !e.Leaving && !now.Before(e.restsTo) && !slices.Contains(t.Avoid, e.ID)
 }
@@ -41,18 +56,22 @@
 	var rest time.Duration
 	switch trouble {
 	case TroubleNone:
-		e.troubles = 0
+		e.succeed()
 		return
 	case TroubleLeaving:
 		e.Leaving = true
 		return
-	case TroubleUnreachable:
+	case TroubleUnreachable, TroubleSilent:
 		rest = restUnreachable
 		e.troubles++
+		e.trust = 1
+		e.troubledAt = now
 	case TroubleBroken:
 		rest = restBroken
 	case TroubleFull:
 		rest = restFull
+	case TroubleUnknown:
+		return
 	}
 	for range min(e.troubles-1, 4) {
 		rest *= 2
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -35,8 +35,19 @@
 	seed   uint64
 	// lose takes an endpoint away at a time; zero does not.
 	lose time.Duration
+	// silent and slow name an endpoint that sends nothing, or works eightfold as long, in the second third of the day.
+	silent, slow inventory.ID
 }
 
+const (
+	// simStall is after how long a run that may be repeated is given up.
+	simStall = 600 * time.Millisecond
+	// simPatience is how long a run that may not be repeated waits.
+	simPatience = 5 * time.Second
+	// simSlow is how much longer everything takes at a slow endpoint.
+	simSlow = 8
+)
+
 // outcome of a simulated day.
 type served struct {
 	online, onTime, refused int
@@ -76,6 +87,8 @@
 	begun   time.Duration
 	run     int
 	tries   int
+	// once says that the request may not be repeated.
+	once bool
 }
 
 type sim struct {
@@ -155,6 +168,7 @@
 		class:   ClassOnline,
 		arrived: s.now,
 		left:    time.Duration(tokens) * simToken,
+		once:    s.got.online%2 == 0,
 	})
 }
 
@@ -198,7 +212,7 @@
 		r := s.requests[o.Ticket]
 		switch o.Kind {
 		case OutcomeGrant:
-			s.begin(r, o.Ticket)
+			s.begin(r, o.Ticket, o.Endpoint.ID)
 		case OutcomeRevoke:
 			s.got.revoked++
 			r.run++
@@ -214,17 +228,32 @@
 	}
 }
 
-func (s *sim) begin(r *simRequest, ticket TicketID) {
+// begin runs a request at an endpoint.
+func (s *sim) begin(r *simRequest, ticket TicketID, at inventory.ID) {
 	r.begun = s.now
 	run := r.run
 	wait := s.now - r.arrived
 	if r.class == ClassOnline {
 		s.got.longestWait = max(s.got.longestWait, wait)
-		if wait <= simObjective-simLead {
-			s.got.onTime++
-		}
 	}
-	s.after(simFirst+r.left, func() {
+	troubled := s.now > s.load.length/3 && s.now < s.load.length*2/3
+	if troubled && at == s.load.silent {
+		s.stall(r, ticket, run)
+		return
+	}
+	first, left := simFirst, r.left
+	if troubled && at == s.load.slow {
+		first, left = simSlow*first, simSlow*left
+	}
+	if r.class == ClassOnline && wait+first <= simObjective-simLead+simFirst {
+		s.got.onTime++
+	}
+	s.after(first, func() {
+		if r.run == run {
+			s.pool.Observe("v", ticket, TroubleNone, first, s.start.Add(s.now))
+		}
+	})
+	s.after(first+left, func() {
 		if r.run != run {
 			return
 		}
@@ -235,6 +264,27 @@
 	})
 }
 
+// stall is a run at an endpoint that sends nothing: it is given up and repeated, or waits if it may not be.
+func (s *sim) stall(r *simRequest, ticket TicketID, run int) {
+	if r.once {
+		s.after(simStall, func() {
+			s.pool.Observe("v", ticket, TroubleSilent, 0, s.start.Add(s.now))
+		})
+		s.after(simPatience, func() {
+			s.pool.Release("v", ticket, TroubleSilent, s.start.Add(s.now))
+		})
+		return
+	}
+	s.after(simStall, func() {
+		if r.run != run {
+			return
+		}
+		r.run++
+		s.pool.Release("v", ticket, TroubleSilent, s.start.Add(s.now))
+		s.ask(r)
+	})
+}
+
 func (g served) onTimeShare() float64 {
 	return float64(g.onTime) / float64(g.online)
 }
@@ -313,3 +363,25 @@
 	assert.Assert(t, got.onTimeShare() > 0.95, "%+v", got)
 	assert.Assert(t, got.dueShare() > 0.9, "%+v", got)
 }
+
+// TestEndpointTroubledUnderLoad plays an endpoint that goes silent, or slow, with its entry unchanged. Only the requests that
+// show it may suffer: those that fill its slots, and one for each time that it is tried again.
+func TestEndpointTroubledUnderLoad(t *testing.T) {
+	cases := map[string]load{
+		"silent": {silent: "0"},
+		"slow":   {slow: "0"},
+	}
+	for name, l := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				l.endpoints, l.slots = 9, 8
+				l.low, l.high, l.batch = 16, 60, 3
+				l.length, l.seed = 60*time.Second, seed
+				got := play(t, l)
+				late := l.slots + int(l.length/3/restMost)
+				t.Logf("seed %d: %+v", seed, got)
+				assert.Assert(t, got.online-got.onTime <= late, "seed %d: %+v", seed, got)
+			}
+		})
+	}
+}
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -41,6 +41,13 @@
 	Trouble Trouble
 }
 
+// Seen is what a VM saw of a run that goes on; First is the time until its first event, or zero.
+type Seen struct {
+	ID      TicketID
+	Trouble Trouble
+	First   time.Duration
+}
+
 // From says who tells or listens.
 type From struct {
 	Service route.Service
@@ -55,6 +62,7 @@
 	Domain    inventory.Domain
 	Held      []Held
 	Asks      []Ask
+	Seen      []Seen
 	Returned  []Returned
 	Withdrawn []TicketID
 }
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -119,16 +119,28 @@
 		if !e.takes(t, now) || e.running >= e.limit() {
 			continue
 		}
-		if best == nil || e.better(best, t.Domain) {
+		if best == nil || p.better(t, e, best, now) {
 			best = e
 		}
 	}
 	return best
 }
 
-// revoke takes the slot of the batch run with the most time left and returns its endpoint, or nil.
+// better orders endpoints for a ticket: slow ones last for callers that wait, then by free slots.
+func (p *Pool) better(t Ticket, a, b *endpoint, now time.Time) bool {
+	if t.Class == ClassOnline {
+		if aSlow, bSlow := p.slow(a, now), p.slow(b, now); aSlow != bSlow {
+			return bSlow
+		}
+	}
+	return a.better(b, t.Domain)
+}
+
+// revoke takes the slot of the batch run with the most time left, at a slow endpoint only if there is no other, and returns
+// its endpoint, or nil.
 func (p *Pool) revoke(t Ticket, now time.Time) *endpoint {
 	var victim *run
+	victimSlow := false
 	for _, r := range p.runs {
 		if r.ticket.Class != ClassBatch || !r.revoked.IsZero() {
 			continue
@@ -137,8 +149,9 @@
 		if e == nil || !e.takes(t, now) {
 			continue
 		}
-		if victim == nil || later(r, victim) {
-			victim = r
+		slow := p.slow(e, now)
+		if victim == nil || slow == victimSlow && later(r, victim) || !slow && victimSlow {
+			victim, victimSlow = r, slow
 		}
 	}
 	if victim == nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -112,10 +112,14 @@
 	TroubleUnreachable
 	// TroubleBroken means that a connection broke off or went silent.
 	TroubleBroken
+	// TroubleSilent means that the endpoint sent nothing for too long.
+	TroubleSilent
 	// TroubleFull means that the endpoint turned a request away.
 	TroubleFull
 	// TroubleLeaving means that the VM knows of the endpoint's departure.
 	TroubleLeaving
+	// TroubleUnknown means that the run ended for a reason that says nothing about the endpoint.
+	TroubleUnknown
 )
 
 const (
@@ -130,6 +134,15 @@
 	firstRun = 800 * time.Millisecond
 	// runWeight is the weight of the newest run in their average length: some fifty runs count, about a second's.
 	runWeight = 0.02
+	// firstWeight is the weight of the newest time to a first event in the mean of all endpoints, ownFirstWeight in
+	// that of one: fifty requests count for all, the last three for one.
+	firstWeight    = 0.02
+	ownFirstWeight = 0.3
+	// slowTimes is how many times the mean an endpoint's first events take before others are preferred: beyond what
+	// a full batch or a long prompt does to a single one.
+	slowTimes = 2
+	// slowKept is for how long an endpoint counts as slow without a new sign.
+	slowKept = 2 * time.Second
 	// arrivalsOver is the time over which online arrivals are counted: shorter than a rise, longer than its noise.
 	arrivalsOver = 500 * time.Millisecond
 	// spareLeast is the least part of all slots that late requests are expected to get while those that can be
@@ -137,6 +150,11 @@
 	spareLeast = 0.3
 	// arrivalsLeast is how many arrivals must be counted for their rate to say anything.
 	arrivalsLeast = 8
+	// silentMost is which part of all endpoints, one in so many, may be on trial before silence stops to count: some
+	// fail at once, as those of a failure domain do; more have a common cause.
+	silentMost = 3
+	// trustStep is by what the runs that an endpoint may have after trouble grow with each success.
+	trustStep = 2
 	// restUnreachable, restBroken and restFull are for how long an endpoint gets no new work after trouble; each
 	// further trouble in a row doubles it up to restMost.
 	restUnreachable = 500 * time.Millisecond
@@ -157,6 +175,8 @@
 	turn      int
 	// meanRun is the average length of online runs.
 	meanRun time.Duration
+	// meanFirst is the average time from an online request's grant to its first event, over all endpoints.
+	meanFirst time.Duration
 	// arrivals is the number of online asks in the last arrivalsOver, decaying, as of countedAt.
 	arrivals  float64
 	countedAt time.Time
@@ -189,7 +209,9 @@
 		}
 		if known.Born != e.Born {
 			known.troubles = 0
+			known.trust = 0
 			known.restsTo = time.Time{}
+			known.first = 0
 		}
 		known.Endpoint = e
 		known.gone = false
@@ -280,14 +302,14 @@
 	if r.ticket.Class == ClassOnline && trouble == TroubleNone {
 		p.meanRun += time.Duration(runWeight * float64(now.Sub(r.since)-p.meanRun))
 	}
-	e.observe(trouble, now)
+	e.observe(p.judge(trouble), now)
 }
 
 // Forget drops all tickets and runs of a VM.
 func (p *Pool) Forget(vm VMName, now time.Time) {
 	for k := range p.runs {
 		if k.vm == vm {
-			p.Release(vm, k.id, TroubleNone, now)
+			p.Release(vm, k.id, TroubleUnknown, now)
 		}
 	}
 	for _, class := range []Class{ClassOnline, ClassBatch} {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -197,3 +198,37 @@
 	p.Forget("v", now)
 	assert.Equal(t, len(p.Decide(now)), 1)
 }
+
+// TestSilence checks that a silent endpoint is spared until it answers, with more work at each sign of life, and that
+// silence everywhere at once costs no slots.
+func TestSilence(t *testing.T) {
+	cases := map[string]struct {
+		silent []inventory.ID
+		signs  int
+		want   int
+	}{
+		"one":               {silent: []inventory.ID{"a"}, want: 9*4 - 3},
+		"one, that stirs":   {silent: []inventory.ID{"a"}, signs: 1, want: 9*4 - 2},
+		"one, that is well": {silent: []inventory.ID{"a"}, signs: 2, want: 9 * 4},
+		"a failure domain":  {silent: []inventory.ID{"a", "b", "c"}, want: 9*4 - 9},
+		"all":               {silent: []inventory.ID{"a", "b", "c", "d", "e", "f", "g", "h", "i"}, want: 9*4 - 9},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			p := New()
+			p.SetEndpoints(endpoints(4, "a", "b", "c", "d", "e", "f", "g", "h", "i"))
+			for _, id := range c.silent {
+				p.Hold(ticket("v", TicketID("waits-"+string(id)), ClassOnline, now, time.Second), id, now)
+				p.Observe("v", TicketID("waits-"+string(id)), TroubleSilent, 0, now)
+			}
+			now = now.Add(restMost)
+			for n := range c.signs {
+				id := "runs" + strconv.Itoa(n)
+				p.Hold(ticket("v", TicketID(id), ClassOnline, now, time.Second), "a", now)
+				p.Observe("v", TicketID(id), TroubleNone, simFirst, now)
+			}
+			assert.Equal(t, p.Slots(now), c.want)
+		})
+	}
+}
--- a/internal/pool/steward.go
+++ b/internal/pool/steward.go
@@ -169,11 +169,14 @@
 		return
 	}
 	from.seen = now
+	for _, seen := range args.Seen {
+		st.pool.Observe(args.From.VM, seen.ID, seen.Trouble, seen.First, now)
+	}
 	for _, returned := range args.Returned {
 		st.pool.Release(args.From.VM, returned.ID, returned.Trouble, now)
 	}
 	for _, id := range args.Withdrawn {
-		st.pool.Release(args.From.VM, id, TroubleNone, now)
+		st.pool.Release(args.From.VM, id, TroubleUnknown, now)
 	}
 	for _, held := range args.Held {
 		st.pool.Hold(held.Ask.ticket(args, now), held.Endpoint, now)
--- a/internal/pool/talk.go
+++ b/internal/pool/talk.go
@@ -114,6 +114,7 @@
 	c.session = session
 	c.steward = steward
 	c.asks = nil
+	c.seen = nil
 	c.returned = nil
 	c.withdrawn = nil
 	args := TellArgs{
@@ -149,6 +150,7 @@
 	args := TellArgs{
 		From:      from,
 		Domain:    c.domain,
+		Seen:      c.seen,
 		Returned:  c.returned,
 		Withdrawn: c.withdrawn,
 	}
@@ -159,6 +161,7 @@
 		}
 	}
 	c.asks = nil
+	c.seen = nil
 	c.returned = nil
 	c.withdrawn = nil
 	return args
