Store: VMs tell each other changes, not whole tables, and read changes after an outage

Now a follower keeps what was removed and tells what changed since the asker's revision; after a failed call it asks for the changes since, and reads all only if they are not kept.

--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -19,6 +19,8 @@
 	followGrace = 600 * time.Millisecond
 	// readTimeout bounds a whole read of a table; a slow store answers within it.
 	readTimeout = 2 * time.Second
+	// maxRemoved bounds the removed rows that are kept, some hundred bytes each; a day's departures are fewer.
+	maxRemoved = 4096
 	// followPause separates attempts while the store is away; half of it is random so that VMs spread out.
 	followPause = 200 * time.Millisecond
 )
@@ -43,6 +45,9 @@
 	mu   sync.Mutex
 	rows map[Key]Row
 	seen Revision
+	// removed holds the rows that were removed after floor; what was removed before is not known any more.
+	removed map[Key]Row
+	floor   Revision
 	// loaded says that the table was read once.
 	loaded bool
 	lost   bool
@@ -60,6 +65,7 @@
 		log:     log,
 		started: time.Now(),
 		rows:    map[Key]Row{},
+		removed: map[Key]Row{},
 	}
 }
 
@@ -84,29 +90,63 @@
 	return f.lost || !f.loaded
 }
 
-// Snapshot returns the table as known, and the revision as of which it is.
-func (f *Follower) Snapshot() Page {
+// Seen returns the revision as of which the table is known.
+func (f *Follower) Seen() Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	page := Page{
+	return f.seen
+}
+
+// Update is what one VM tells another one of a table.
+type Update struct {
+	// Rows are those that changed after After until Revision, or all.
+	Rows     []Row
+	After    Revision
+	Revision Revision
+	Whole    bool
+}
+
+// Since returns what changed after a revision, or the whole table if that is not known.
+func (f *Follower) Since(after Revision) Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	update := Update{
+		After:    after,
 		Revision: f.seen,
-		Rows:     make([]Row, 0, len(f.rows)),
+		Whole:    after < f.floor,
 	}
 	for _, row := range f.rows {
-		page.Rows = append(page.Rows, row)
+		if update.Whole || row.Revision > after {
+			update.Rows = append(update.Rows, row)
+		}
 	}
-	return page
+	for _, row := range f.removed {
+		if !update.Whole && row.Revision > after {
+			update.Rows = append(update.Rows, row)
+		}
+	}
+	return update
 }
 
-// Offer takes a table as another VM knows it, unless this one has seen more.
-func (f *Follower) Offer(page Page) {
+// Offer takes what another VM knows of the table, unless this one has seen more, or other changes, meanwhile.
+func (f *Follower) Offer(update Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if page.Revision <= f.seen {
+	if update.Revision <= f.seen || !update.Whole && update.After != f.seen {
 		return
 	}
-	f.log.Info("table taken from a peer", "table", f.table, "revision", page.Revision, "rows", len(page.Rows))
-	f.replace(page)
+	if len(update.Rows) > 0 {
+		f.log.Info("table taken from a peer", "table", f.table, "revision", update.Revision, "rows", len(update.Rows), "whole", update.Whole)
+	}
+	if update.Whole {
+		f.replace(Page{
+			Rows:     update.Rows,
+			Revision: update.Revision,
+		})
+		return
+	}
+	f.seen = update.Revision
+	f.change(update.Rows)
 }
 
 // Run follows the table until ctx ends.
@@ -114,7 +154,8 @@
 	fresh := true
 	for ctx.Err() == nil {
 		err := f.step(ctx, fresh)
-		fresh = err != nil
+		// After an outage the changes since are read, and the whole table only if they are not kept any more.
+		fresh = errors.Is(err, ErrHistoryGone) || err != nil && fresh
 		if err == nil {
 			f.regained()
 			continue
@@ -178,6 +219,8 @@
 	for _, row := range page.Rows {
 		f.rows[row.Address.Key] = row
 	}
+	f.removed = map[Key]Row{}
+	f.floor = page.Revision
 	f.sink.Replace(page.Rows)
 }
 
@@ -189,10 +232,16 @@
 	for _, row := range rows {
 		if row.Deleted {
 			delete(f.rows, row.Address.Key)
+			f.removed[row.Address.Key] = row
 			continue
 		}
+		delete(f.removed, row.Address.Key)
 		f.rows[row.Address.Key] = row
 	}
+	if len(f.removed) > maxRemoved {
+		f.removed = map[Key]Row{}
+		f.floor = f.seen
+	}
 	f.sink.Change(rows)
 }
 
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -36,9 +36,9 @@
 	Seen map[store.Table]store.Revision
 }
 
-// SnapshotReply holds the tables of which this VM knows more.
+// SnapshotReply holds what this VM knows more of the tables.
 type SnapshotReply struct {
-	Pages map[store.Table]store.Page
+	Updates map[store.Table]store.Update
 }
 
 // exchange lets VMs that can't reach the store know and do what others can.
@@ -58,13 +58,13 @@
 	exchange *exchange
 }
 
-// Snapshot returns the tables of which this VM knows more than the asker.
+// Snapshot returns what this VM knows more of the tables than the asker.
 func (e *Exchange) Snapshot(args SnapshotArgs, reply *SnapshotReply) error {
-	reply.Pages = map[store.Table]store.Page{}
+	reply.Updates = map[store.Table]store.Update{}
 	for _, f := range e.exchange.followers {
-		page := f.Snapshot()
-		if page.Revision > args.Seen[f.Table()] {
-			reply.Pages[f.Table()] = page
+		update := f.Since(args.Seen[f.Table()])
+		if update.Revision > args.Seen[f.Table()] {
+			reply.Updates[f.Table()] = update
 		}
 	}
 	return nil
@@ -108,7 +108,7 @@
 		Seen: map[store.Table]store.Revision{},
 	}
 	for _, f := range e.followers {
-		args.Seen[f.Table()] = f.Snapshot().Revision
+		args.Seen[f.Table()] = f.Seen()
 	}
 	for _, address := range e.peers() {
 		var reply SnapshotReply
@@ -119,8 +119,8 @@
 			continue
 		}
 		for _, f := range e.followers {
-			if page, ok := reply.Pages[f.Table()]; ok {
-				f.Offer(page)
+			if update, ok := reply.Updates[f.Table()]; ok {
+				f.Offer(update)
 			}
 		}
 		return
