VM: bounds on silent connections and slow bodies, and a table of hostile requests

Found by writing the table: a length alone made the VM take as much memory as the body may have; a body could come as slowly as its caller liked; the configuration's idle and header times were not applied (fixed 60 s and 10 s); after a request with both a length and chunks, the bytes that follow were served as a second request. TestRequestsInRequests, TestSlowCallers fail without it; TestJobsAreApart and TestStrangersAreNotPeers passed as it was.

--- a/internal/vm/front.go
+++ b/internal/vm/front.go
@@ -1,11 +1,13 @@
 package vm
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -20,6 +22,8 @@
 const (
 	// maxBody bounds a body where the configuration sets no bound.
 	maxBody = 8 << 20
+	// firstBody is the memory that is taken for a body before any of it arrives.
+	firstBody = 64 << 10
 	// listingBytes is how much output one answer about a job holds, below the 1 MB that callers take.
 	listingBytes = 900_000
 	// busyRetry is when a caller should come back that was turned away because the store is away.
@@ -47,7 +51,9 @@
 	arrived := time.Now()
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if f.draining.Load() {
+	// After chunks nothing more is read: if there was a length as well, which the server has dropped, a proxy before this
+	// VM may have seen the request end elsewhere.
+	if f.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	config := f.view.Current()
@@ -64,7 +70,10 @@
 		f.refuse(w, r, http.StatusNotFound, "no route")
 		return
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(arrived.Add(to.Timeout))
 	body, status := readBody(r, config.Limits)
+	_ = control.SetReadDeadline(time.Time{})
 	if status != 0 {
 		f.refuse(w, r, status, "body")
 		return
@@ -104,23 +113,18 @@
 	if r.ContentLength > most {
 		return nil, http.StatusRequestEntityTooLarge
 	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, http.StatusBadRequest
+	// Memory is taken as the body arrives: a length alone costs a caller nothing.
+	body := bytes.NewBuffer(make([]byte, 0, min(max(r.ContentLength, 0)+bytes.MinRead, firstBody)))
+	if _, err := body.ReadFrom(io.LimitReader(r.Body, most+1)); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, http.StatusRequestTimeout
 		}
-		// Reading the end lets the server watch the connection for the caller's leaving.
-		_, _ = r.Body.Read(make([]byte, 1))
-		return body, 0
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
-	if err != nil {
 		return nil, http.StatusBadRequest
 	}
-	if int64(len(body)) > most {
+	if int64(body.Len()) > most {
 		return nil, http.StatusRequestEntityTooLarge
 	}
-	return body, 0
+	return body.Bytes(), 0
 }
 
 func headerBytes(r *http.Request) int64 {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -38,8 +38,8 @@
 	handTime = 2 * time.Second
 	// maxHeaderBytes bounds headers before the configuration's own bound is looked at.
 	maxHeaderBytes = 64 << 10
-	// headerTime and idleTime bound a caller's headers and an idle connection; callers reuse connections that were
-	// idle for less than the operators' bound, which is shorter.
+	// headerTime and idleTime bound headers and an idle connection where the configuration sets no bound, and on the
+	// addresses that operators use.
 	headerTime = 10 * time.Second
 	idleTime   = 60 * time.Second
 	// storeConnections is how many connections to the store are kept.
@@ -62,6 +62,7 @@
 	warden    *batch.Warden
 	front     *front
 	callers   *http.Server
+	conns     *conns
 	peers     *peer.Server
 	endpoints *store.Follower
 	operator  *store.Follower
@@ -83,6 +84,7 @@
 		end:      end,
 		view:     route.NewView(log),
 	}
+	p.conns = newConns(p.view, log)
 	status, err := telemetry.NewStatus("vm")
 	if err != nil {
 		return nil, oops.In("vm").Wrap(err)
@@ -224,6 +226,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
+		ConnState:         p.conns.changed,
 	}
 	ready := &http.Server{
 		Handler:           http.HandlerFunc(p.serveReady),
@@ -298,6 +301,7 @@
 		p.endpoints.Run,
 		p.members.Run,
 		p.warden.Run,
+		p.conns.run,
 		p.exchange.run,
 		func(ctx context.Context) {
 			p.roster.Enter(ctx, p.store)
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -91,6 +91,8 @@
 	folder    string
 	version   int
 	maxBody   int
+	// limits replace those of the configuration; nil keeps them.
+	limits map[string]any
 	// settings returns further settings of a VM; nil has none.
 	settings func(i int) map[string]any
 }
@@ -195,11 +197,15 @@
 // configure writes a further configuration, with more routes.
 func (c *cluster) configure(more []map[string]any) {
 	c.version += 3
+	limits := c.limits
+	if limits == nil {
+		limits = map[string]any{"maxHeaderBytes": 4096, "maxBodyBytes": c.maxBody, "idleTimeoutMs": 15000}
+	}
 	c.store.put("op", "config", map[string]any{
 		"version":  c.version,
 		"routes":   append(routes(), more...),
 		"services": []map[string]any{{"name": "llm", "healthPath": "/healthz", "maxConnections": 100}},
-		"limits":   map[string]any{"maxHeaderBytes": 4096, "maxBodyBytes": c.maxBody, "idleTimeoutMs": 15000},
+		"limits":   limits,
 	})
 }
 
