--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -37,6 +37,10 @@
 	lose time.Duration
 	// silent and slow name an endpoint that sends nothing, or works eightfold as long, in the second third of the day.
 	silent, slow inventory.ID
+	// vms is how many VMs ask in turn, and large how many times the usual length an item in ten has; zero is one VM, and
+	// no such item.
+	vms   int
+	large float64
 }
 
 const (
@@ -87,8 +91,9 @@
 	begun   time.Duration
 	run     int
 	tries   int
-	// once says that the request may not be repeated.
-	once bool
+	// once says that the request may not be repeated, large that an item is larger than usual.
+	once, large bool
+	vm          VMName
 }
 
 type sim struct {
@@ -101,18 +106,34 @@
 	events   simEvents
 	requests map[TicketID]*simRequest
 	got      served
+	// askedBy and servedOf count online requests by VM, large and largeDue the items that are larger than usual.
+	askedBy, servedOf map[VMName]int
+	large, largeDue   int
 }
 
 func play(t *testing.T, l load) served {
 	t.Helper()
-	s := &sim{
+	s := newSim(t, l)
+	s.play()
+	return s.got
+}
+
+func newSim(t *testing.T, l load) *sim {
+	t.Helper()
+	return &sim{
 		t:        t,
 		load:     l,
 		random:   rand.New(rand.NewPCG(l.seed, 1)),
 		pool:     New(),
 		start:    time.Unix(0, 0),
 		requests: map[TicketID]*simRequest{},
+		askedBy:  map[VMName]int{},
+		servedOf: map[VMName]int{},
 	}
+}
+
+func (s *sim) play() {
+	l := s.load
 	s.setEndpoints(l.endpoints)
 	s.after(0, s.arriveOnline)
 	s.after(0, s.arriveBatch)
@@ -130,7 +151,6 @@
 		event.do()
 		s.decide()
 	}
-	return s.got
 }
 
 func (s *sim) after(d time.Duration, do func()) {
@@ -163,12 +183,15 @@
 	s.after(s.gap(rate), s.arriveOnline)
 	s.got.online++
 	tokens := 252 * (0.75 + s.random.Float64()/2)
+	vm := VMName("v" + strconv.Itoa(s.got.online%max(1, s.load.vms)))
+	s.askedBy[vm]++
 	s.ask(&simRequest{
 		id:      TicketID("o" + strconv.Itoa(s.got.online)),
 		class:   ClassOnline,
 		arrived: s.now,
 		left:    time.Duration(tokens) * simToken,
 		once:    s.got.online%2 == 0,
+		vm:      vm,
 	})
 }
 
@@ -179,12 +202,19 @@
 	s.after(s.gap(s.load.batch), s.arriveBatch)
 	s.got.items++
 	tokens := 1729 * (0.75 + s.random.Float64()/2)
+	large := s.load.large > 0 && s.got.items%10 == 0
+	if large {
+		tokens *= s.load.large
+		s.large++
+	}
 	s.ask(&simRequest{
 		id:      TicketID("b" + strconv.Itoa(s.got.items)),
 		class:   ClassBatch,
 		arrived: s.now,
 		left:    time.Duration(tokens) * simToken,
 		due:     s.now + simWindow,
+		large:   large,
+		vm:      "v0",
 	})
 }
 
@@ -200,7 +230,7 @@
 	}
 	s.pool.Ask(Ticket{
 		ID:      id,
-		VM:      "v",
+		VM:      r.vm,
 		Class:   r.class,
 		Start:   start,
 		Expires: expires,
@@ -217,7 +247,7 @@
 			s.got.revoked++
 			r.run++
 			r.left -= max(0, s.now-r.begun-simFirst)
-			s.pool.Release("v", o.Ticket, TroubleNone, s.start.Add(s.now))
+			s.pool.Release(r.vm, o.Ticket, TroubleNone, s.start.Add(s.now))
 			s.ask(r)
 		case OutcomeRefuse:
 			s.got.refused++
@@ -250,16 +280,22 @@
 	}
 	s.after(first, func() {
 		if r.run == run {
-			s.pool.Observe("v", ticket, TroubleNone, first, s.start.Add(s.now))
+			s.pool.Observe(r.vm, ticket, TroubleNone, first, s.start.Add(s.now))
 		}
 	})
 	s.after(first+left, func() {
 		if r.run != run {
 			return
 		}
-		s.pool.Release("v", ticket, TroubleNone, s.start.Add(s.now))
+		s.pool.Release(r.vm, ticket, TroubleNone, s.start.Add(s.now))
+		if r.class == ClassOnline {
+			s.servedOf[r.vm]++
+		}
 		if r.class == ClassBatch && s.now <= r.due {
 			s.got.itemsDue++
+			if r.large {
+				s.largeDue++
+			}
 		}
 	})
 }
@@ -268,10 +304,10 @@
 func (s *sim) stall(r *simRequest, ticket TicketID, run int) {
 	if r.once {
 		s.after(simStall, func() {
-			s.pool.Observe("v", ticket, TroubleSilent, 0, s.start.Add(s.now))
+			s.pool.Observe(r.vm, ticket, TroubleSilent, 0, s.start.Add(s.now))
 		})
 		s.after(simPatience, func() {
-			s.pool.Release("v", ticket, TroubleSilent, s.start.Add(s.now))
+			s.pool.Release(r.vm, ticket, TroubleSilent, s.start.Add(s.now))
 		})
 		return
 	}
@@ -280,7 +316,7 @@
 			return
 		}
 		r.run++
-		s.pool.Release("v", ticket, TroubleSilent, s.start.Add(s.now))
+		s.pool.Release(r.vm, ticket, TroubleSilent, s.start.Add(s.now))
 		s.ask(r)
 	})
 }
@@ -385,3 +421,85 @@
 		})
 	}
 }
+
+// TestBatchGivesWayAndReturns plays a rise that needs every slot: batch must give all of them up, and take each back, within
+// 50 ms, and no item may be lost.
+func TestBatchGivesWayAndReturns(t *testing.T) {
+	const within = 50 * time.Millisecond
+	const slots = 16
+	now := time.Unix(0, 0)
+	p := New()
+	p.SetEndpoints(endpoints(slots/2, "a", "b"))
+	for n := range 2 * slots {
+		p.Ask(ticket("v", TicketID("b"+strconv.Itoa(n)), ClassBatch, now, simWindow), now)
+	}
+	assert.Equal(t, len(p.Decide(now)), slots, "batch takes every free slot at once")
+	granted := map[TicketID]time.Time{}
+	for n := range slots {
+		p.Ask(ticket("v", TicketID("o"+strconv.Itoa(n)), ClassOnline, now, time.Second), now)
+	}
+	for end := now.Add(within); now.Before(end); now = now.Add(time.Millisecond) {
+		for _, o := range p.Decide(now) {
+			switch o.Kind {
+			case OutcomeGrant:
+				granted[o.Ticket] = now
+			case OutcomeRevoke:
+				// The VM closes the stream and returns the slot; the item waits again with what it has.
+				p.Release("v", o.Ticket, TroubleUnknown, now)
+				p.Ask(ticket("v", o.Ticket+"+", ClassBatch, now, simWindow), now)
+			case OutcomeRefuse:
+				t.Fatalf("%s refused", o.Ticket)
+			}
+		}
+	}
+	assert.Equal(t, len(granted), slots, "every online request runs within 50 ms")
+	for id := range granted {
+		p.Release("v", id, TroubleNone, now)
+	}
+	resumed := 0
+	for _, o := range p.Decide(now) {
+		assert.Equal(t, o.Kind, OutcomeGrant)
+		resumed++
+	}
+	assert.Equal(t, resumed, slots, "batch takes every slot back at once")
+	_, waiting, running := p.Counts()
+	assert.Equal(t, waiting+running, 2*slots, "and no item is lost")
+}
+
+// TestNoVMIsStarved plays an overload that lasts: the requests of each VM get at least half of what all get on average.
+func TestNoVMIsStarved(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(t, load{
+			endpoints: 4,
+			slots:     8,
+			low:       60,
+			high:      60,
+			length:    60 * time.Second,
+			seed:      seed,
+			vms:       6,
+		})
+		s.play()
+		for vm, asked := range s.askedBy {
+			share := float64(s.servedOf[vm]) / float64(asked)
+			assert.Assert(t, share > float64(s.got.online-s.got.refused)/float64(s.got.online)/2, "seed %d: %s gets %.2f", seed, vm, share)
+		}
+	}
+}
+
+// TestLargeItemsAreDone plays batch jobs of all sizes under a load with room for them: the largest tenth is done as the rest.
+func TestLargeItemsAreDone(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(t, load{
+			endpoints: 9,
+			slots:     8,
+			low:       16,
+			high:      77,
+			batch:     4,
+			length:    60 * time.Second,
+			seed:      seed,
+			large:     2,
+		})
+		s.play()
+		assert.Assert(t, s.largeDue*2 > s.large*s.got.itemsDue/s.got.items, "seed %d: %d of %d large, %+v", seed, s.largeDue, s.large, s.got)
+	}
+}
