Forward: only streams tell the pace of events; silence says nothing of other answers

Found by reading the diff: a plain request may take any time until its answer, so that 0.6 s of silence must not count against its endpoint, and its time to an answer must not enter the mean of first events.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -94,7 +94,7 @@
 	avoid []inventory.ID
 	// started says that the answer has begun.
 	started bool
-	// began is called with the first sign of an answer of the current sending, and then nil.
+	// began is called with the first event of the current sending, if it is a stream, and then nil.
 	began  func()
 	events int
 	waited time.Duration
@@ -143,7 +143,7 @@
 			return err
 		}
 		err = s.attempt(ctx, slot)
-		slot.Release(Trouble(err))
+		slot.Release(s.trouble(err))
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -198,15 +198,8 @@
 	}
 	ctx, watch := NewWatch(ctx, first)
 	defer watch.Stop()
-	// A request that has to wait on at a silent endpoint still keeps others away from it.
-	silent := time.AfterFunc(stallFirst, func() {
-		slot.Observe(pool.TroubleSilent, 0)
-	})
-	defer silent.Stop()
-	sent := time.Now()
-	s.began = func() {
-		silent.Stop()
-		slot.Observe(pool.TroubleNone, time.Since(sent))
+	if s.route.Kind == route.KindStream {
+		defer s.watchPace(slot)()
 	}
 	send := Send{
 		Left: time.Until(s.until),
@@ -232,6 +225,31 @@
 	return s.whole(ctx, response)
 }
 
+// watchPace tells the pool when a stream begins, or that it does not: a request that has to wait on at a silent endpoint
+// still keeps others away from it. Answers that are not streams may take any time. The function that it returns ends that.
+func (s *serving) watchPace(slot *pool.Slot) func() {
+	silent := time.AfterFunc(stallFirst, func() {
+		slot.Observe(pool.TroubleSilent, 0)
+	})
+	sent := time.Now()
+	s.began = func() {
+		silent.Stop()
+		slot.Observe(pool.TroubleNone, time.Since(sent))
+	}
+	return func() {
+		silent.Stop()
+		s.began = nil
+	}
+}
+
+// trouble returns what the end of a sending says about the endpoint; silence says something of streams only.
+func (s *serving) trouble(err error) pool.Trouble {
+	if found := Trouble(err); found != pool.TroubleSilent || s.route.Kind == route.KindStream {
+		return found
+	}
+	return pool.TroubleBroken
+}
+
 // whole passes on an answer that is not a stream.
 func (s *serving) whole(ctx context.Context, response *http.Response) error {
 	if s.started {
@@ -244,7 +262,6 @@
 	if err != nil {
 		return brokenError(ctx, err)
 	}
-	s.began()
 	s.begin(response)
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	s.w.WriteHeader(response.StatusCode)
