--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -111,6 +111,23 @@
 	large, largeDue   int
 }
 
+// usual is the load of the small installation, changed as a test needs it.
+func usual(seed uint64, changes ...func(l *load)) load {
+	l := load{
+		endpoints: 9,
+		slots:     8,
+		low:       16,
+		high:      77,
+		batch:     5,
+		length:    60 * time.Second,
+		seed:      seed,
+	}
+	for _, change := range changes {
+		change(&l)
+	}
+	return l
+}
+
 func play(t *testing.T, l load) served {
 	t.Helper()
 	s := newSim(t, l)
@@ -332,15 +349,7 @@
 // TestCalmLoad plays the ordinary load of the small installation: batch fills the lulls and gives way at each rise.
 func TestCalmLoad(t *testing.T) {
 	for seed := range uint64(5) {
-		got := play(t, load{
-			endpoints: 9,
-			slots:     8,
-			low:       16,
-			high:      77,
-			batch:     5,
-			length:    60 * time.Second,
-			seed:      seed,
-		})
+		got := play(t, usual(seed))
 		assert.Assert(t, got.onTimeShare() > 0.99, "seed %d: %+v", seed, got)
 		assert.Assert(t, got.dueShare() > 0.95, "seed %d: %+v", seed, got)
 	}
@@ -350,15 +359,9 @@
 // callers of a rise late by a little; most must be on time, and nobody may be forgotten.
 func TestRiseBeyondAllSlots(t *testing.T) {
 	for seed := range uint64(5) {
-		got := play(t, load{
-			endpoints: 7,
-			slots:     8,
-			low:       16,
-			high:      77,
-			batch:     5,
-			length:    60 * time.Second,
-			seed:      seed,
-		})
+		got := play(t, usual(seed, func(l *load) {
+			l.endpoints = 7
+		}))
 		assert.Assert(t, got.onTimeShare() > 0.85, "seed %d: %+v", seed, got)
 		t.Logf("seed %d: %+v", seed, got)
 		assert.Assert(t, float64(got.refused) < 0.05*float64(got.online), "seed %d: %+v", seed, got)
@@ -369,14 +372,11 @@
 // no fewer served than the slots can serve.
 func TestFarTooManyRequests(t *testing.T) {
 	for seed := range uint64(5) {
-		got := play(t, load{
-			endpoints: 4,
-			slots:     8,
-			low:       16,
-			high:      90,
-			length:    60 * time.Second,
-			seed:      seed,
-		})
+		got := play(t, usual(seed, func(l *load) {
+			l.endpoints = 4
+			l.high = 90
+			l.batch = 0
+		}))
 		t.Logf("seed %d: %+v", seed, got)
 		assert.Assert(t, got.onTimeShare() > 0.55, "seed %d: %+v", seed, got)
 		assert.Assert(t, got.refused > 0)
@@ -386,16 +386,10 @@
 
 // TestEndpointLostUnderLoad takes an endpoint away in the middle of the day.
 func TestEndpointLostUnderLoad(t *testing.T) {
-	got := play(t, load{
-		endpoints: 9,
-		slots:     8,
-		low:       16,
-		high:      77,
-		batch:     4,
-		length:    60 * time.Second,
-		seed:      1,
-		lose:      20 * time.Second,
-	})
+	got := play(t, usual(1, func(l *load) {
+		l.batch = 4
+		l.lose = 20 * time.Second
+	}))
 	assert.Assert(t, got.onTimeShare() > 0.95, "%+v", got)
 	assert.Assert(t, got.dueShare() > 0.9, "%+v", got)
 }
@@ -403,16 +397,17 @@
 // TestEndpointTroubledUnderLoad plays an endpoint that goes silent, or slow, with its entry unchanged. Only the requests that
 // show it may suffer: those that fill its slots, and one for each time that it is tried again.
 func TestEndpointTroubledUnderLoad(t *testing.T) {
-	cases := map[string]load{
-		"silent": {silent: "0"},
-		"slow":   {slow: "0"},
+	cases := map[string]func(l *load){
+		"silent": func(l *load) { l.silent = "0" },
+		"slow":   func(l *load) { l.slow = "0" },
 	}
-	for name, l := range cases {
+	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(5) {
-				l.endpoints, l.slots = 9, 8
-				l.low, l.high, l.batch = 16, 60, 3
-				l.length, l.seed = 60*time.Second, seed
+				l := usual(seed, change, func(l *load) {
+					l.high = 60
+					l.batch = 3
+				})
 				got := play(t, l)
 				late := l.slots + int(l.length/3/restMost)
 				t.Logf("seed %d: %+v", seed, got)
@@ -469,15 +464,13 @@
 // TestNoVMIsStarved plays an overload that lasts: the requests of each VM get at least half of what all get on average.
 func TestNoVMIsStarved(t *testing.T) {
 	for seed := range uint64(5) {
-		s := newSim(t, load{
-			endpoints: 4,
-			slots:     8,
-			low:       60,
-			high:      60,
-			length:    60 * time.Second,
-			seed:      seed,
-			vms:       6,
-		})
+		s := newSim(t, usual(seed, func(l *load) {
+			l.endpoints = 4
+			l.low = 60
+			l.high = 60
+			l.vms = 6
+			l.batch = 0
+		}))
 		s.play()
 		for vm, asked := range s.askedBy {
 			share := float64(s.servedOf[vm]) / float64(asked)
@@ -489,16 +482,10 @@
 // TestLargeItemsAreDone plays batch jobs of all sizes under a load with room for them: the largest tenth is done as the rest.
 func TestLargeItemsAreDone(t *testing.T) {
 	for seed := range uint64(5) {
-		s := newSim(t, load{
-			endpoints: 9,
-			slots:     8,
-			low:       16,
-			high:      77,
-			batch:     4,
-			length:    60 * time.Second,
-			seed:      seed,
-			large:     2,
-		})
+		s := newSim(t, usual(seed, func(l *load) {
+			l.batch = 4
+			l.large = 2
+		}))
 		s.play()
 		assert.Assert(t, s.largeDue*2 > s.large*s.got.itemsDue/s.got.items, "seed %d: %d of %d large, %+v", seed, s.largeDue, s.large, s.got)
 	}
