--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -21,6 +21,8 @@
 	// first is the average time to its latest first events, firstAt when the last came; zero if there was none.
 	first   time.Duration
 	firstAt time.Time
+	// slow is what was last told of it.
+	slow bool
 }
 
 func (e *endpoint) better(than *endpoint, domain inventory.Domain) bool {
--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"rhubarbrudder/internal/inventory"
+)
 
 // Observe takes what a VM saw of a run that goes on: the time until its first event, or a trouble that leaves it where it
 // is, as a request that may not be repeated waits on at a silent endpoint.
@@ -14,7 +18,7 @@
 	}
 	e := p.endpoints[r.endpoint]
 	if r.since.After(e.troubledAt) || trouble != TroubleNone {
-		e.observe(p.judge(trouble), now)
+		p.take(e, trouble, now)
 	}
 	if trouble != TroubleNone || first <= 0 || r.ticket.Class != ClassOnline {
 		return
@@ -22,6 +26,48 @@
 	p.meanFirst = average(p.meanFirst, first, firstWeight)
 	e.first = average(e.first, first, ownFirstWeight)
 	e.firstAt = now
+	if slow := p.slow(e, now); slow != e.slow {
+		e.slow = slow
+		p.stand(e, TroubleNone)
+	}
+}
+
+// take changes what is thought of an endpoint, and notes if it may have more or fewer runs than before.
+func (p *Pool) take(e *endpoint, trouble Trouble, now time.Time) {
+	before := e.limit()
+	judged := p.judge(trouble)
+	e.observe(judged, now)
+	if e.limit() != before {
+		p.stand(e, judged)
+	}
+}
+
+// Standing is what is newly thought of an endpoint, and why.
+type Standing struct {
+	Endpoint inventory.ID
+	// Runs is how many it may have.
+	Runs    int
+	Trouble Trouble
+	// Slow says that callers that wait are sent there last; First is its average time to a first event.
+	Slow  bool
+	First time.Duration
+}
+
+func (p *Pool) stand(e *endpoint, trouble Trouble) {
+	p.standings = append(p.standings, Standing{
+		Endpoint: e.ID,
+		Runs:     e.limit(),
+		Trouble:  trouble,
+		Slow:     e.slow,
+		First:    e.first,
+	})
+}
+
+// Standings returns what changed since the last call.
+func (p *Pool) Standings() []Standing {
+	standings := p.standings
+	p.standings = nil
+	return standings
 }
 
 // judge takes silence as the endpoint's own only while most others answer: if they fall silent together, as when all work off
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -122,6 +122,20 @@
 	TroubleUnknown
 )
 
+// String names the trouble, for logs.
+func (t Trouble) String() string {
+	names := map[Trouble]string{
+		TroubleNone:        "none",
+		TroubleUnreachable: "unreachable",
+		TroubleBroken:      "broken",
+		TroubleSilent:      "silent",
+		TroubleFull:        "full",
+		TroubleLeaving:     "leaving",
+		TroubleUnknown:     "unknown",
+	}
+	return names[t]
+}
+
 const (
 	// retryAfter is the pause that a refused caller is asked to make where nothing better is known: about the time in
 	// which a full pool turns over once, as a generation takes about a second.
@@ -172,6 +186,7 @@
 	waiting   map[key]Class
 	runs      map[key]*run
 	outcomes  []Outcome
+	standings []Standing
 	turn      int
 	// meanRun is the average length of online runs.
 	meanRun time.Duration
@@ -302,7 +317,7 @@
 	if r.ticket.Class == ClassOnline && trouble == TroubleNone {
 		p.meanRun += time.Duration(runWeight * float64(now.Sub(r.since)-p.meanRun))
 	}
-	e.observe(p.judge(trouble), now)
+	p.take(e, trouble, now)
 }
 
 // Forget drops all tickets and runs of a VM.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -223,12 +223,14 @@
 				p.Observe("v", TicketID("waits-"+string(id)), TroubleSilent, 0, now)
 			}
 			now = now.Add(restMost)
+			assert.Assert(t, len(p.Standings()) <= 3, "only what changed is told")
 			for n := range c.signs {
 				id := "runs" + strconv.Itoa(n)
 				p.Hold(ticket("v", TicketID(id), ClassOnline, now, time.Second), "a", now)
 				p.Observe("v", TicketID(id), TroubleNone, simFirst, now)
 			}
 			assert.Equal(t, p.Slots(now), c.want)
+			assert.Equal(t, len(p.Standings()), c.signs)
 		})
 	}
 }
--- a/internal/pool/steward.go
+++ b/internal/pool/steward.go
@@ -255,6 +255,10 @@
 
 // decide hands the pool's outcomes to the sessions; the lock is held.
 func (st *steward) decide(now time.Time) {
+	for _, standing := range st.pool.Standings() {
+		st.log.Info("endpoint judged", "service", st.service, "endpoint", standing.Endpoint, "runs", standing.Runs,
+			"trouble", standing.Trouble, "slow", standing.Slow, "first_ms", standing.First.Milliseconds())
+	}
 	for _, outcome := range st.pool.Decide(now) {
 		online, batch, running := st.pool.Counts()
 		st.log.Info("slot decision", "ticket", outcome.Ticket, "vm", outcome.VM, "decision", outcome.Kind, "endpoint", outcome.Endpoint.ID,
