Pool: a stream that has begun goes on first and is not refused in a rise

Cause: a stream whose endpoint stalled midway asked for another slot, late by then, and was refused at once with the new requests of a rise (refuseHopeless); its caller can't come back, the answer was cut. TestBegunStreamIsKept fails without the change.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -176,6 +176,7 @@
 		ID:      pool.TicketID(string(s.meta.ID) + "." + strconv.Itoa(s.sends)),
 		Class:   pool.ClassOnline,
 		Rank:    s.route.Rank,
+		Begun:   s.started,
 		Start:   s.lastEvent.Add(s.route.Objective - firstEvent),
 		Expires: expires,
 		Avoid:   s.avoid,
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -63,6 +63,7 @@
 	ID      TicketID
 	Class   Class
 	Rank    int
+	Begun   bool
 	Start   time.Time
 	Expires time.Time
 	Avoid   []inventory.ID
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -24,6 +24,7 @@
 	ID        TicketID
 	Class     Class
 	Rank      int
+	Begun     bool
 	StartIn   time.Duration
 	ExpiresIn time.Duration
 	Avoid     []inventory.ID
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -20,6 +20,9 @@
 	if len(p.online) == 0 {
 		return
 	}
+	p.grantWhere(now, func(t Ticket) bool {
+		return t.Begun
+	})
 	late := p.grantWhere(now, func(t Ticket) bool {
 		return !t.late(now)
 	})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,6 +34,9 @@
 	Class Class
 	// Rank orders online tickets by urgency before their time; zero is the most urgent.
 	Rank int
+	// Begun says that the caller has part of its answer already: it is not refused before its time, nor kept waiting for
+	// those who have nothing yet.
+	Begun bool
 	// Start is until when a run must begin to be on time.
 	Start time.Time
 	// Expires is when the ticket is refused if it has no slot.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -234,3 +234,31 @@
 		})
 	}
 }
+
+// TestBegunStreamIsKept plays a stream that lost its endpoint in a rise that others are refused in: it goes on first, and is not
+// broken off while it can wait (lww-beaconhost-grown scale-2: LOST, refused at once after 26.9 s).
+func TestBegunStreamIsKept(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := New()
+	p.SetEndpoints(endpoints(1, "a", "b"))
+	for _, id := range []inventory.ID{"a", "b"} {
+		p.Hold(ticket("v", TicketID("runs-"+string(id)), ClassOnline, now, time.Second), id, now)
+	}
+	for n := range 30 {
+		p.Ask(ticket("v", TicketID("new"+strconv.Itoa(n)), ClassOnline, now, 200*time.Millisecond), now)
+	}
+	begun := ticket("v", "begun", ClassOnline, now, -100*time.Millisecond)
+	begun.Begun = true
+	p.Ask(begun, now)
+	refused := 0
+	for _, o := range p.Decide(now) {
+		assert.Equal(t, o.Kind, OutcomeRefuse)
+		assert.Assert(t, o.Ticket != "begun")
+		refused++
+	}
+	assert.Assert(t, refused > 0)
+	p.Release("v", "runs-a", TroubleNone, now)
+	outcomes := p.Decide(now)
+	assert.Assert(t, len(outcomes) > 0)
+	assert.Equal(t, outcomes[0].Ticket, TicketID("begun"))
+}
--- a/internal/pool/refuse.go
+++ b/internal/pool/refuse.go
@@ -16,7 +16,7 @@
 }
 
 // refuseHopeless refuses online tickets for which no slot will be free in their time, as soon as that shows: their callers
-// can come back when the rise is over, rather than wait in vain.
+// can come back when the rise is over, rather than wait in vain. A stream that has begun can't come back.
 func (p *Pool) refuseHopeless(now time.Time) {
 	slots := p.capacity()
 	if len(p.online) == 0 || slots == 0 {
@@ -44,7 +44,7 @@
 			before--
 		}
 		wait := seconds(float64(before+1) / spare)
-		if !inTime && now.Add(wait).After(t.Expires) {
+		if !t.Begun && !inTime && now.Add(wait).After(t.Expires) {
 			p.refuse(t, wait)
 			continue
 		}
--- a/internal/pool/steward.go
+++ b/internal/pool/steward.go
@@ -312,6 +312,7 @@
 		VM:      args.From.VM,
 		Class:   a.Class,
 		Rank:    a.Rank,
+		Begun:   a.Begun,
 		Start:   now.Add(a.StartIn),
 		Expires: now.Add(a.ExpiresIn),
 		Avoid:   a.Avoid,
--- a/internal/pool/talk.go
+++ b/internal/pool/talk.go
@@ -236,6 +236,7 @@
 		ID:        w.ID,
 		Class:     w.Class,
 		Rank:      w.Rank,
+		Begun:     w.Begun,
 		StartIn:   w.Start.Sub(now),
 		ExpiresIn: w.Expires.Sub(now),
 		Avoid:     w.Avoid,
