--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -21,7 +21,7 @@
 	// first is the average time to its latest first events, firstAt when the last came; zero if there was none.
 	first   time.Duration
 	firstAt time.Time
-	// slow is what was last told of it.
+	// slow is what the log last said of it; Pool.slow decides.
 	slow bool
 }
 
--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -53,6 +53,7 @@
 	First time.Duration
 }
 
+// stand notes an endpoint's standing, for the log of the steward.
 func (p *Pool) stand(e *endpoint, trouble Trouble) {
 	p.standings = append(p.standings, Standing{
 		Endpoint: e.ID,
--- a/test/platform/job_test.go
+++ b/test/platform/job_test.go
@@ -30,13 +30,25 @@
 
 // listing is a part of a job's results.
 type listing struct {
-	Total   int `json:"total"`
-	Next    int `json:"next"`
-	Results []struct {
-		ID     string `json:"id"`
-		State  string `json:"state"`
-		Output string `json:"output"`
-	} `json:"results"`
+	Total   int             `json:"total"`
+	Next    int             `json:"next"`
+	Results []listingResult `json:"results"`
+}
+
+// listingResult is an item in a listing.
+type listingResult struct {
+	ID     string `json:"id"`
+	State  string `json:"state"`
+	Output string `json:"output"`
+}
+
+// itemOutput is the whole output of an item.
+func itemOutput(id string, events int) string {
+	data := make([]string, 0, events)
+	for n := 1; n <= events; n++ {
+		data = append(data, eventData(id, n))
+	}
+	return strings.Join(data, "\n")
 }
 
 func (c *cluster) read(vm int, id string, after int) (listing, int) {
@@ -65,11 +77,7 @@
 		if r.State != "succeeded" {
 			continue
 		}
-		var data []string
-		for n := 1; n <= events; n++ {
-			data = append(data, eventData(r.ID, n))
-		}
-		assert.Equal(c.t, r.Output, strings.Join(data, "\n"))
+		assert.Equal(c.t, r.Output, itemOutput(r.ID, events))
 	}
 	return l
 }
--- a/test/platform/soak_watch_test.go
+++ b/test/platform/soak_watch_test.go
@@ -224,12 +224,8 @@
 }
 
 func (w *watcher) result(j *soakJob, item, state, output string, events int) {
-	var data []string
-	for n := 1; n <= events; n++ {
-		data = append(data, eventData(item, n))
-	}
 	switch {
-	case state == "succeeded" && output != strings.Join(data, "\n"):
+	case state == "succeeded" && output != itemOutput(item, events):
 		w.breach("item %s: output %q", item, output)
 	case state == "dead_letter" && item != j.impossible && w.failures[item] < soakAttempts && !j.asked:
 		w.breach("item %s was given up after %d failures", item, w.failures[item])
