batch, pool: whole large results, adoption despite a failed read, slots of revoked runs

A page that is not the last now ends before its last result, and a result that fills the page alone is read completely. - Adopt read the results after writing the claim and gave up if that failed, so that nobody ran the job until the next scans. The job now reads them itself, until it succeeds or the claim is lost. - SetEndpoints counted revoked runs of an endpoint that is listed again; their release does not free a slot, so that the endpoint kept fewer slots than it has.

Besides, an item's output is bounded by what fits into a transaction (an endpoint that sends events without end filled the memory, and a result that can't be committed was retried for ever), and events without a number are no sign of life.

Ruled out: dropping the claim again when the results can't be read, as that write may fail as well. Tests: TestResultLargerThanAPage, TestAdoptWhileResultsCannotBeRead, TestJobLostWhileResultsCannotBeRead, TestRevokedRunsOfListedEndpoint.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -97,7 +97,7 @@
 	// This makes a difference only if the store's clock was not positive, and only to this VM's copy: the stored
 	// manifest keeps the clock's value.
 	m.Submitted = max(m.Submitted, 1)
-	mgr.start(s.ID, m, commit.Clock, c, commit.Revision, s.Items, nil, nil)
+	mgr.start(s.ID, m, commit.Clock, c, commit.Revision, s.Items, false, nil)
 	return nil
 }
 
--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -52,14 +52,11 @@
 	if err != nil {
 		return err
 	}
-	// Results are read after the claim was written, because from then on no other VM can commit any.
-	committed, err := mgr.ledger.results(ctx, args.Job, 0, true)
-	if err != nil {
-		return err
-	}
-	// The key claim is the claim's number, listed the number of results that are already committed.
-	mgr.log.Info("job adopted", "job", args.Job, "claim", c.Number, "listed", len(committed), "items", len(items), "progress", len(args.Progress))
-	mgr.start(args.Job, m, clock, c, revision, items, committed, args.Progress)
+	// The key claim is the claim's number.
+	mgr.log.Info("job adopted", "job", args.Job, "claim", c.Number, "items", len(items), "progress", len(args.Progress))
+	// The job reads the committed results only now that the claim is written, because from then on no other VM can commit
+	// any.
+	mgr.start(args.Job, m, clock, c, revision, items, true, args.Progress)
 	return nil
 }
 
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -21,6 +21,8 @@
 	// faults holds the outcomes of the next commits, one each: nil commits; ErrUnknown commits and returns that error;
 	// errLate returns ErrUnknown and keeps the transaction in late; any other error is returned without committing.
 	faults []error
+	// failingReads makes reads of a table fail, that many times.
+	failingReads map[store.Table]int
 	// late holds transactions that have not taken effect yet.
 	late []store.Transaction
 }
@@ -95,6 +97,10 @@
 func (m *memoryStore) Read(_ context.Context, r store.Range) (store.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.failingReads[r.Table] > 0 {
+		m.failingReads[r.Table]--
+		return store.Page{}, store.ErrUnavailable
+	}
 	page := store.Page{
 		Revision: m.revision,
 		Clock:    m.clock,
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -235,7 +235,8 @@
 	return items, oops.In("batch").Wrap(err)
 }
 
-// results returns the results from a position on: one page, or all of them.
+// results returns the results from a position on: all of them, or those that one page holds completely, but at least one
+// if there is any.
 func (l *ledger) results(ctx context.Context, id JobID, from int, all bool) ([]Result, error) {
 	r := jobRange(tableResults, id, resultKey(id, from, 0))
 	var page store.Page
@@ -248,18 +249,27 @@
 	if err != nil {
 		return nil, err
 	}
-	if !page.More {
-		return decodeResults(page.Rows)
+	if page.More {
+		page.Rows = withoutLastResult(page.Rows)
 	}
-	// Unless the page is the last one, its last result may be incomplete and is left for the next page.
-	rows := page.Rows
-	for len(rows) > 0 && piece(rows[len(rows)-1]) != firstPiece {
-		rows = rows[:len(rows)-1]
+	if page.More && len(page.Rows) == 0 {
+		// The first result alone fills the page.
+		r.To = store.Key(resultKey(id, from+1, 0))
+		if page, err = store.ReadAll(ctx, l.store, r); err != nil {
+			return nil, err
+		}
 	}
-	if len(rows) > 1 {
-		rows = rows[:len(rows)-1]
+	return decodeResults(page.Rows)
+}
+
+// withoutLastResult returns the rows of a page without those of the last result, which may continue on the next page.
+func withoutLastResult(rows []store.Row) []store.Row {
+	for n := len(rows) - 1; n >= 0; n-- {
+		if piece(rows[n]) == firstPiece {
+			return rows[:n]
+		}
 	}
-	return decodeResults(rows)
+	return nil
 }
 
 // firstPiece is the last segment of the key of a result's first row.
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -158,8 +158,9 @@
 	}
 }
 
-// start begins to run a job that this VM owns. The clock is the store's current clock.
-func (mgr *Manager) start(id JobID, m manifest, clock store.Clock, c claim, revision store.Revision, items []Item, committed []Result, progress []Progress) {
+// start begins to run a job that this VM owns. The clock is the store's current clock. If the job had another owner before,
+// hasResults is set and progress holds the partial output that it handed over.
+func (mgr *Manager) start(id JobID, m manifest, clock store.Clock, c claim, revision store.Revision, items []Item, hasResults bool, progress []Progress) {
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
 	if mgr.owned[id] != nil || mgr.baseCtx.Err() != nil {
@@ -188,7 +189,7 @@
 	}
 	mgr.owned[id] = j
 	mgr.running.Go(func() {
-		j.run(ctx, committed)
+		j.run(ctx, hasResults)
 		cancel(nil)
 		mgr.mu.Lock()
 		defer mgr.mu.Unlock()
--- /dev/null
+++ b/internal/batch/read_test.go
@@ -0,0 +1,108 @@
+package batch
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/store"
+)
+
+// TestResultLargerThanAPage checks that callers get whole results, whichever of them exceed a page of the store. A result
+// that filled a whole page was returned without the rows on the next pages.
+func TestResultLargerThanAPage(t *testing.T) {
+	const large = 7 * chunkBytes
+	cases := map[string][]int{
+		"alone":               {large},
+		"first":               {large, 10},
+		"last":                {10, large},
+		"between":             {10, large, 10},
+		"two":                 {large, large},
+		"as long as a page":   {5*chunkBytes - 100, 10},
+		"nearly a page":       {4 * chunkBytes, 10, 10},
+		"small":               {10, 10, 10, 10, 10, 10, 10},
+		"no larger than rows": {chunkBytes, 2 * chunkBytes, chunkBytes},
+	}
+	for name, sizes := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryStore()
+			mgr := newManager(t, m, "a")
+			assert.NilError(t, mgr.Accept(context.Background(), submission("j", len(sizes), 1), jobRoute))
+			outputs := make([]string, 0, len(sizes))
+			for n, size := range sizes {
+				outputs = append(outputs, strings.Repeat(string(rune('a'+n)), size))
+				owned(t, mgr, "j").results <- Result{
+					Item:   submission("j", len(sizes), 1).Items[n].ID,
+					State:  StateSucceeded,
+					Output: outputs[n],
+				}
+			}
+			mgr.running.Wait()
+			for from := 0; from < len(sizes); {
+				listing, err := mgr.Results(context.Background(), "j", from, 1<<30)
+				assert.NilError(t, err)
+				assert.Assert(t, len(listing.Results) > 0, "no result at position %d", from)
+				for n, r := range listing.Results {
+					assert.Assert(t, r.Output == outputs[from+n], "position %d: %d bytes of %d", from+n, len(r.Output), sizes[from+n])
+				}
+				from += len(listing.Results)
+			}
+		})
+	}
+}
+
+// TestAdoptWhileResultsCannotBeRead checks that an adopted job runs although its results could not be read at first. The
+// new owner used to give up after it had written the claim, so that nobody ran the job until the next scans.
+func TestAdoptWhileResultsCannotBeRead(t *testing.T) {
+	m := newMemoryStore()
+	a := newManager(t, m, "a")
+	b := newManager(t, m, "b")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+	a.Retire()
+	m.mu.Lock()
+	m.failingReads = map[store.Table]int{
+		tableResults: 3,
+	}
+	m.mu.Unlock()
+	assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+	j := owned(t, b, "j")
+	for _, item := range j.items {
+		j.results <- Result{
+			Item:  item.ID,
+			State: StateSucceeded,
+		}
+	}
+	b.running.Wait()
+	results, err := b.ledger.results(context.Background(), "j", 0, true)
+	assert.NilError(t, err)
+	assert.Equal(t, len(results), 2)
+}
+
+// TestJobLostWhileResultsCannotBeRead checks that a new owner that can't read the results stops when the job is ended.
+func TestJobLostWhileResultsCannotBeRead(t *testing.T) {
+	m := newMemoryStore()
+	a := newManager(t, m, "a")
+	b := newManager(t, m, "b")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+	a.Retire()
+	m.mu.Lock()
+	m.failingReads = map[store.Table]int{
+		tableResults: 1000,
+	}
+	m.mu.Unlock()
+	assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+	assert.NilError(t, a.End(context.Background(), "j"))
+	ended := make(chan struct{})
+	go func() {
+		b.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the job still runs")
+	}
+}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -71,8 +71,17 @@
 // errRevoked means that the steward, which grants the slots of a service, revoked the slot of a run.
 var errRevoked = errors.New("batch: slot revoked")
 
-// run runs the items without a result until all have one or this VM no longer owns the job.
-func (j *job) run(ctx context.Context, committed []Result) {
+// run runs the items without a result until all have one or this VM no longer owns the job. If hasResults is set, it
+// first reads the results that earlier owners committed.
+func (j *job) run(ctx context.Context, hasResults bool) {
+	var committed []Result
+	if hasResults {
+		committed = j.readCommitted(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		j.manager.log.Info("results of earlier owners read", "job", j.id, "results", len(committed))
+	}
 	done := map[ItemID]bool{}
 	for _, r := range committed {
 		done[r.Item] = true
@@ -95,6 +104,24 @@
 	items.Wait()
 }
 
+// readCommitted returns the results of earlier owners. It reads them again until it succeeds, this VM no longer owns the
+// job, or ctx ends: the claim is already written, so no other VM would run the job.
+func (j *job) readCommitted(ctx context.Context) []Result {
+	for ctx.Err() == nil {
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		committed, err := j.manager.ledger.results(readCtx, j.id, 0, true)
+		cancel()
+		if err == nil {
+			return committed
+		}
+		j.manager.log.Warn("results of earlier owners could not be read", "job", j.id, "err", err)
+		if sleep(ctx, retryPause) {
+			j.checkClaim(ctx)
+		}
+	}
+	return nil
+}
+
 // runItem runs an item until it has a result.
 func (j *job) runItem(ctx context.Context, item *Item) {
 	progress := j.progressOf(item.ID)
@@ -132,6 +159,8 @@
 			return
 		case errors.Is(err, errRevoked), ctx.Err() != nil:
 			continue
+		case errors.Is(err, errTooMuchOutput):
+			j.resetProgress(&progress)
 		}
 		j.manager.log.Info("item attempt failed", "job", j.id, "item", item.ID, "events", progress.Events, "failures", progress.Failures, "err", err)
 		sleep(ctx, min(initialItemBackoff<<min(failedAttempts, 10), maxItemBackoff))
@@ -147,6 +176,17 @@
 	return progress
 }
 
+// resetProgress discards the output of an item, which then starts from its beginning.
+func (j *job) resetProgress(progress *Progress) {
+	*progress = Progress{
+		Item:     progress.Item,
+		Failures: progress.Failures,
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.partial, progress.Item)
+}
+
 func (j *job) route(item *Item) *route.Route {
 	config := j.manager.view.Current()
 	if config == nil {
@@ -176,6 +216,10 @@
 // errFailed means that an endpoint ran the item and reported a failure.
 var errFailed = errors.New("batch: item failed")
 
+// errTooMuchOutput means that an item's output does not fit into a transaction. The output so far is discarded, because
+// an endpoint that sends events without end causes the same.
+var errTooMuchOutput = errors.New("batch: item has too much output")
+
 // attempt acquires a slot and runs the item in it, resuming after the progress so far. The number n distinguishes the
 // item's tickets. If the attempt failed, the endpoint is added to avoid, unless the slot was revoked or the
 // endpoint rejected the item permanently.
@@ -309,13 +353,17 @@
 		if err != nil {
 			return errors.Join(forward.ErrBroken, err)
 		}
-		watch.Feed(stallTimeout)
+		// Events that are not numbered or already part of the progress do not count as signs of life.
 		if !event.HasID || event.ID <= progress.After && progress.Events > 0 {
 			continue
 		}
+		watch.Feed(stallTimeout)
 		if progress.Events > 0 && event.ID != progress.After+1 {
 			return forward.ErrBroken
 		}
+		if len(progress.Output)+1+len(event.Data) > maxOutputBytes {
+			return errors.Join(forward.ErrBroken, errTooMuchOutput)
+		}
 		if progress.Events > 0 {
 			progress.Output = append(progress.Output, '\n')
 		}
@@ -333,29 +381,35 @@
 // committed only if the claim is unchanged.
 func (j *job) watchClaim(ctx context.Context) {
 	for sleep(ctx, claimCheckPeriod) {
-		j.mu.Lock()
-		recentlyChecked := time.Since(j.checked) < claimCheckPeriod
-		j.mu.Unlock()
-		if recentlyChecked {
-			continue
-		}
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		c, revision, err := j.manager.ledger.claim(readCtx, j.id)
-		cancel()
-		if err != nil {
-			j.manager.log.Info("claim could not be read", "job", j.id, "err", err)
-			continue
-		}
-		j.mu.Lock()
-		notOwner := revision == 0 || c.Owner != j.claim.Owner || c.Incarnation != j.claim.Incarnation || c.Number != j.claim.Number
-		if !notOwner {
-			j.checked = time.Now()
-		}
-		j.mu.Unlock()
-		if notOwner {
-			// The owner is empty if the job is ended or complete.
-			j.manager.log.Info("job lost", "job", j.id, "owner", c.Owner, "claim", c.Number, "revision", revision)
-			j.cancel(errNotOwner)
-		}
+		j.checkClaim(ctx)
+	}
+}
+
+// checkClaim reads the claim, unless that was done within claimCheckPeriod, and cancels the job if this VM no longer owns
+// it.
+func (j *job) checkClaim(ctx context.Context) {
+	j.mu.Lock()
+	recentlyChecked := time.Since(j.checked) < claimCheckPeriod
+	j.mu.Unlock()
+	if recentlyChecked {
+		return
+	}
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	c, revision, err := j.manager.ledger.claim(readCtx, j.id)
+	cancel()
+	if err != nil {
+		j.manager.log.Info("claim could not be read", "job", j.id, "err", err)
+		return
+	}
+	j.mu.Lock()
+	notOwner := revision == 0 || c.Owner != j.claim.Owner || c.Incarnation != j.claim.Incarnation || c.Number != j.claim.Number
+	if !notOwner {
+		j.checked = time.Now()
+	}
+	j.mu.Unlock()
+	if notOwner {
+		// The owner is empty if the job is ended or complete.
+		j.manager.log.Info("job lost", "job", j.id, "owner", c.Owner, "claim", c.Number, "revision", revision)
+		j.cancel(errNotOwner)
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -235,7 +235,7 @@
 			known = &endpoint{}
 			p.endpoints[e.ID] = known
 			for _, r := range p.runs {
-				if r.endpoint == e.ID {
+				if r.endpoint == e.ID && r.revoked.IsZero() {
 					known.running++
 				}
 			}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -203,6 +203,28 @@
 	assert.Equal(t, len(p.Decide(now)), 1)
 }
 
+// TestRevokedRunsOfListedEndpoint checks that a revoked run takes no slot of an endpoint that was removed and is listed
+// again. Such a run used to be counted, and as its release was not, the slot stayed lost.
+func TestRevokedRunsOfListedEndpoint(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.SetEndpoints(endpoints(1, "a"))
+	p.Enqueue(ticket("v", "batch", ClassBatch, now, time.Second), now)
+	assert.Equal(t, len(p.Decide(now)), 1)
+	p.Enqueue(ticket("v", "online", ClassOnline, now, time.Second), now)
+	p.Decide(now)
+	p.Release("v", "online", TroubleNone, now)
+	p.SetEndpoints(nil)
+	p.SetEndpoints(endpoints(1, "a"))
+	p.Enqueue(ticket("v", "next", ClassOnline, now, time.Second), now)
+	outcomes := p.Decide(now)
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Kind, OutcomeGrant)
+	p.Release("v", "batch", TroubleUnknown, now)
+	p.Release("v", "next", TroubleNone, now)
+	assert.Equal(t, p.endpoints["a"].running, 0)
+}
+
 // TestSilence checks that a silent endpoint gets one run at a time until it answers and more with each answer, and that
 // silence of more than a third of the endpoints takes no further slots away.
 func TestSilence(t *testing.T) {
