forward, vm: answers without end, slow but sound answers, headers that arrive bit by bit

Cause, each shown by a test that failed before: - An endpoint that sent blank lines or comments, at once or now and then, kept the watchdog of a stream fed and its bytes were passed on as events without a number, which also lost the place where the stream goes on. It was given up at the caller's deadline (5.1 s) instead of after 0.6 s. Each attempt now gets an equal share of the time left. - HeaderTimeoutMs did not bound the headers of a further request on a connection. Besides: headers of an answer are bounded by 32 KB (10 MB before), a server error has its own error, the line request carries the status that the caller got, and the metric of the wait for slots leaves out failed attempts.

Ruled out: a body limit for the whole process, which would make callers wait for each other. Tests: TestEndlessStreams (19 ways), TestEndlessAnswersToRequestsThatRunOnce (38), TestEndlessMemory, TestSlowButSound, TestSecondAnswerOnAConnection (passed before: one connection a request), TestLongAnswers, TestConnReaper.

--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -11,12 +11,13 @@
 // ErrEvent means that a stream contains data that is not a valid event, or an event that is too long.
 var ErrEvent = errors.New("forward: invalid or oversized event")
 
-// maxEventBytes is the maximum size of an event; events of generated text have a few hundred bytes.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of an event, including blank lines and comments before it. Events of generated text
+// have a few hundred bytes.
+const maxEventBytes = 64 << 10
 
 // Event is one server-sent event of a stream.
 type Event struct {
-	// Raw is the event as received, including the empty line that ends it.
+	// Raw is the event as received, including the empty line that ends it, and blank lines and comments before it.
 	Raw []byte
 	// ID is the number in the event's id field; HasID reports whether it has one.
 	ID    int64
@@ -42,31 +43,46 @@
 	}
 }
 
-// Next returns the next complete event, which is valid until the next call. It returns io.EOF at the end of the stream
-// and io.ErrUnexpectedEOF if the stream ends inside an event.
+// Next returns the next complete event, which is valid until the next call. Blank lines and comments are not events, so
+// that an endpoint that sends only these does not appear to make progress; those at the end of the stream are returned
+// as an event without an id and data. Next returns io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream
+// ends inside an event, and ErrEvent if an event is invalid or too long.
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
 	event := Event{}
+	// fields counts the fields of the event so far.
+	fields := 0
 	for {
 		start := len(e.raw)
 		if err := e.readLine(); err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
-				return Event{}, io.ErrUnexpectedEOF
-			}
-			return Event{}, err
+			return e.end(err, start, fields)
 		}
 		line := bytes.TrimRight(e.raw[start:], "\r\n")
-		if len(line) == 0 {
-			if start == 0 {
-				continue
-			}
+		switch {
+		case len(line) == 0 && fields > 0:
 			event.Raw = e.raw
 			return event, nil
+		case len(line) == 0 || line[0] == ':':
+			continue
 		}
 		if err := event.applyField(line); err != nil {
 			return Event{}, err
 		}
+		fields++
+	}
+}
+
+// end returns the result of Next if reading a line failed after the line's first part was appended at start.
+func (e *EventReader) end(err error, start, fields int) (Event, error) {
+	switch {
+	case !errors.Is(err, io.EOF) || len(e.raw) == 0:
+		return Event{}, err
+	case fields > 0 || len(e.raw) > start:
+		return Event{}, io.ErrUnexpectedEOF
 	}
+	return Event{
+		Raw: e.raw,
+	}, nil
 }
 
 // readLine reads a line and appends it, including its line ending, to the raw event.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -28,8 +28,8 @@
 
 // Recorder records finished requests in the metrics.
 type Recorder interface {
-	// Request records the outcome of a request, how long it waited until its last slot was granted or refused, and how
-	// long until the answer to the caller began, or zero.
+	// Request records the outcome of a request, how long it waited for slots in all its attempts, and the time from its
+	// arrival until the answer to the caller began, or zero.
 	Request(kind route.Kind, outcome string, waited, first time.Duration)
 }
 
@@ -55,16 +55,13 @@
 	// patienceMargin is the time reserved for the last answer to reach the caller: a request is refused that long before
 	// the caller stops waiting, and an answer may be written until that long after the deadline.
 	patienceMargin = 150 * time.Millisecond
-	// stallFirst limits the time to the first event of a stream, or to the complete answer of another kind, if the
-	// request may be sent again. stallNext limits the time between events of a stream that may continue at another
-	// endpoint. Both are several times what a slow endpoint takes, and short enough to retry or continue elsewhere
-	// before the caller leaves.
+	// stallFirst limits the time to the first event of a stream if the request may be sent again. stallNext limits the
+	// time between events of a stream that may continue at another endpoint. Both are several times what a slow endpoint
+	// takes, and short enough to retry or continue elsewhere before the caller leaves.
 	stallFirst = 600 * time.Millisecond
 	stallNext  = 500 * time.Millisecond
 	// maxAttempts is the maximum number of attempts for one request.
 	maxAttempts = 6
-	// maxWholeBytes is the maximum size of an answer that is not a stream.
-	maxWholeBytes = 32 << 20
 )
 
 // New returns a forwarder.
@@ -107,10 +104,12 @@
 	onFirstEvent func()
 	// events counts the events sent to the caller, in all attempts.
 	events int
-	// waited is the time until the pool last granted or refused a slot, first the time until the answer to the caller
-	// began, or zero. Both count from the arrival.
+	// waited is the time that all attempts together waited for a slot, first the time from the arrival until the answer
+	// to the caller began, or zero.
 	waited time.Duration
 	first  time.Duration
+	// status is that of the answer to the caller, or zero if it has not begun.
+	status int
 	// endpoint is where the last slot was granted.
 	endpoint inventory.ID
 }
@@ -150,8 +149,9 @@
 // run sends the request until it is answered or can't be retried; nil means that the caller has the complete answer.
 func (s *serving) run(ctx context.Context) error {
 	for {
+		asked := time.Now()
 		slot, err := s.pools.Acquire(ctx, s.service, s.slotRequest())
-		s.waited = time.Since(s.arrived)
+		s.waited += time.Since(asked)
 		if err != nil {
 			return err
 		}
@@ -170,7 +170,7 @@
 
 // mayRetry reports whether the request may be sent again after the error.
 func (s *serving) mayRetry(err error) bool {
-	if s.attempts >= maxAttempts {
+	if s.attempts >= maxAttempts || errors.Is(err, errCut) {
 		return false
 	}
 	if NotRun(err) {
@@ -206,11 +206,7 @@
 	if err := CheckNotLeaving(s.inventory, slot.Endpoint); err != nil {
 		return err
 	}
-	firstTimeout := time.Until(s.deadline)
-	if s.route.Repeatable() && s.possibleRuns+1 < s.route.Attempts {
-		firstTimeout = stallFirst
-	}
-	ctx, watchdog := NewWatchdog(ctx, firstTimeout)
+	ctx, watchdog := NewWatchdog(ctx, s.firstTimeout())
 	defer watchdog.Stop()
 	if s.route.Kind == route.KindStream {
 		defer s.watchPace(slot)()
@@ -239,6 +235,21 @@
 	return s.forwardWhole(ctx, response)
 }
 
+// firstTimeout returns the time limit for the first event of a stream, or for the complete answer of another kind.
+func (s *serving) firstTimeout() time.Duration {
+	left := time.Until(s.deadline)
+	attemptsLeft := s.route.Attempts - s.possibleRuns
+	if !s.route.Repeatable() || attemptsLeft <= 1 {
+		return left
+	}
+	if s.route.Kind == route.KindStream {
+		return min(left, stallFirst)
+	}
+	// An answer that is not a stream says nothing until it is complete, so its endpoint may be slow or silent. Each
+	// attempt gets an equal share of the time that is left.
+	return max(min(left, stallFirst), left/time.Duration(attemptsLeft))
+}
+
 // watchPace reports to the pool when a stream's first event arrives, or that it is overdue. New work thus avoids a
 // silent endpoint even while a request that may not be repeated still waits there. It is used for streams only, as the
 // duration of other answers says nothing about the endpoint's health. The returned function stops it.
@@ -266,36 +277,20 @@
 	return pool.TroubleBroken
 }
 
-// forwardWhole forwards an answer that is not a stream. It returns ErrBroken for an answer that can't continue a stream,
-// and for a server error if the request may be sent again.
-func (s *serving) forwardWhole(ctx context.Context, response *http.Response) error {
-	if s.started {
-		return ErrBroken
-	}
-	if response.StatusCode >= http.StatusInternalServerError && s.route.Repeatable() && s.possibleRuns < s.route.Attempts {
-		return ErrBroken
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeBytes))
-	if err != nil {
-		return brokenError(ctx, err)
-	}
-	s.begin(response)
-	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	s.w.WriteHeader(response.StatusCode)
-	s.first = time.Since(s.arrived)
-	if _, err := s.w.Write(body); err != nil {
-		return errCaller
-	}
-	return nil
-}
-
-// begin sets the headers of the answer to the caller.
-func (s *serving) begin(response *http.Response) {
+// begin begins the answer to the caller, with the status and the headers of the response and with contentLength unless
+// that is unknownLength.
+func (s *serving) begin(response *http.Response, contentLength int64) {
 	s.started = true
+	s.first = time.Since(s.arrived)
+	s.status = response.StatusCode
 	header := s.w.Header()
 	for name, values := range s.headers.Returned(response.Header) {
 		header[name] = values
 	}
+	if contentLength != unknownLength {
+		header.Set("Content-Length", strconv.FormatInt(contentLength, 10))
+	}
+	s.w.WriteHeader(response.StatusCode)
 }
 
 // forwardStream forwards events as they arrive. When the stream resumes at another endpoint, it skips events that the
@@ -310,21 +305,22 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if !s.started {
-				s.begin(response)
+				s.begin(response, unknownLength)
 			}
 			return nil
 		}
 		if err != nil {
 			return brokenError(ctx, err)
 		}
+		// An event that the caller already has is not progress.
+		if event.HasID && s.meta.After > 0 && event.ID <= s.meta.After {
+			continue
+		}
 		watchdog.Feed(nextTimeout)
 		if s.onFirstEvent != nil {
 			s.onFirstEvent()
 			s.onFirstEvent = nil
 		}
-		if event.HasID && s.meta.After > 0 && event.ID <= s.meta.After {
-			continue
-		}
 		if event.HasID && s.started && event.ID != s.meta.After+1 {
 			return ErrBroken
 		}
@@ -337,9 +333,7 @@
 // writeEvent sends an event to the caller.
 func (s *serving) writeEvent(response *http.Response, event Event) error {
 	if !s.started {
-		s.begin(response)
-		s.w.WriteHeader(response.StatusCode)
-		s.first = time.Since(s.arrived)
+		s.begin(response, unknownLength)
 	}
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return errCaller
@@ -347,7 +341,9 @@
 	if err := s.control.Flush(); err != nil {
 		return errCaller
 	}
-	s.meta.After = event.ID
+	if event.HasID {
+		s.meta.After = event.ID
+	}
 	s.lastEvent = time.Now()
 	s.events++
 	return nil
@@ -365,9 +361,7 @@
 // answer has begun or the caller has left, or else answers with an error status.
 func (s *serving) finish(caller context.Context, err error) {
 	outcome := "answered"
-	// status is what finish answers if the answer has not begun. The log line shows 200 in all other cases, also if the
-	// endpoint answered with another status.
-	status := http.StatusOK
+	status := s.status
 	switch {
 	case err == nil:
 	case caller.Err() != nil:
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,6 +27,8 @@
 	ErrNotRun = errors.New("forward: request rejected by the endpoint")
 	// ErrLeaving means that the request was not sent because the endpoint takes no new work.
 	ErrLeaving = errors.New("forward: endpoint is leaving")
+	// ErrServerFailed means that the endpoint ran the request and answered with a server error. It is an ErrBroken.
+	ErrServerFailed = fmt.Errorf("%w: answered with a server error", ErrBroken)
 	// ErrStalled means that the endpoint sent nothing for too long.
 	ErrStalled = errors.New("forward: no data from the endpoint in time")
 )
@@ -105,6 +108,9 @@
 	dialTimeout = 250 * time.Millisecond
 	// connBufferBytes is the size of a connection's buffers. It is small because many connections are open at once.
 	connBufferBytes = 2 << 10
+	// maxAnswerHeaderBytes bounds the headers of an endpoint's answer, together with those of informational answers
+	// before it.
+	maxAnswerHeaderBytes = 32 << 10
 )
 
 // NewSender returns a sender.
@@ -117,11 +123,12 @@
 		headers: headers,
 		client: &http.Client{
 			Transport: &http.Transport{
-				DialContext:        dialer.DialContext,
-				DisableKeepAlives:  true,
-				DisableCompression: true,
-				ReadBufferSize:     connBufferBytes,
-				WriteBufferSize:    connBufferBytes,
+				DialContext:            dialer.DialContext,
+				DisableKeepAlives:      true,
+				DisableCompression:     true,
+				ReadBufferSize:         connBufferBytes,
+				WriteBufferSize:        connBufferBytes,
+				MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
--- a/internal/vm/metrics.go
+++ b/internal/vm/metrics.go
@@ -20,8 +20,7 @@
 type metrics struct {
 	requests metric.Int64Counter
 	first    metric.Float64Histogram
-	// waited is the time from a request's arrival until the pool last granted or refused a slot. It includes earlier
-	// failed attempts.
+	// waited is the time that a request waited for slots, in all its attempts.
 	waited   metric.Float64Histogram
 	calls    metric.Int64Counter
 	callTime metric.Float64Histogram
@@ -44,8 +43,8 @@
 	}, errors.Join(requestsErr, firstErr, waitedErr, callsErr, callTimeErr)
 }
 
-// Request records a finished request. The times count from its arrival: waited until the pool last granted or refused a
-// slot, first until the answer began, or zero if there was none.
+// Request records a finished request: how long it waited for slots, and the time from its arrival until the answer began,
+// or zero if there was none.
 func (m *metrics) Request(kind route.Kind, outcome string, waited, first time.Duration) {
 	ctx := context.Background()
 	kindAttr := attribute.String("kind", string(kind))
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -291,7 +291,10 @@
 // serveCallers serves callers until the process ends. It does not return when only the server is shut down, as that
 // would stop the group.
 func (p *Process) serveCallers(listener net.Listener) error {
-	err := p.callers.Serve(listener)
+	err := p.callers.Serve(reapedListener{
+		Listener: listener,
+		reaper:   p.connReaper,
+	})
 	if errors.Is(err, http.ErrServerClosed) {
 		<-p.baseCtx.Done()
 	}
