--- a/cmd/verdict/main.go
+++ b/cmd/verdict/main.go
@@ -34,6 +34,8 @@
 	passed  int
 	skipped int
 	failed  []testKey
+	// unfinished holds the tests that have started and not ended.
+	unfinished map[testKey]bool
 }
 
 const (
@@ -47,7 +49,11 @@
 		fmt.Println(err)
 		os.Exit(1)
 	}
-	r := readEvents(os.Stdin)
+	r, err := readEvents(os.Stdin)
+	if err != nil {
+		fmt.Println("input not read to its end:", err)
+		os.Exit(1)
+	}
 	os.Exit(r.print(known))
 }
 
@@ -74,9 +80,10 @@
 }
 
 // readEvents reads events until the end of the input. Lines that are not JSON are printed unchanged.
-func readEvents(input io.Reader) *report {
+func readEvents(input io.Reader) (*report, error) {
 	r := &report{
-		output: map[testKey][]string{},
+		output:     map[testKey][]string{},
+		unfinished: map[testKey]bool{},
 	}
 	scanner := bufio.NewScanner(input)
 	scanner.Buffer(nil, maxLineBytes)
@@ -88,7 +95,7 @@
 		}
 		r.add(e)
 	}
-	return r
+	return r, scanner.Err()
 }
 
 func (r *report) add(e event) {
@@ -97,6 +104,12 @@
 		test: e.Test,
 	}
 	switch e.Action {
+	case "run":
+		r.unfinished[key] = true
+	case "pass", "skip", "fail":
+		delete(r.unfinished, key)
+	}
+	switch e.Action {
 	case "output", "build-output":
 		if len(r.output[key]) < maxOutputLines {
 			r.output[key] = append(r.output[key], e.Output)
@@ -116,6 +129,27 @@
 	}
 }
 
+// crashed reports whether a package failed by itself, and not only because of its failed tests: a test did not end, or
+// the process of the tests ended abnormally.
+func (r *report) crashed(pkg string) bool {
+	for key := range r.unfinished {
+		if key.pkg == pkg {
+			return true
+		}
+	}
+	for _, line := range r.output[testKey{pkg: pkg}] {
+		for _, sign := range []string{"panic: ", "fatal error: ", "signal: ", "WARNING: DATA RACE"} {
+			if strings.HasPrefix(line, sign) {
+				return true
+			}
+		}
+		if strings.HasPrefix(line, "exit status ") && strings.TrimSpace(line) != "exit status 1" {
+			return true
+		}
+	}
+	return false
+}
+
 // print prints the failures and the summary and returns the exit code.
 func (r *report) print(known map[string]bool) int {
 	newFailures := map[string]int{}
@@ -137,7 +171,7 @@
 	}
 	code := 0
 	for _, key := range r.failed {
-		if key.test == "" && (newFailures[key.pkg] > 0 || knownFailures[key.pkg] == 0) {
+		if key.test == "" && (newFailures[key.pkg] > 0 || knownFailures[key.pkg] == 0 || r.crashed(key.pkg)) {
 			code = 1
 			fmt.Printf("FAIL %s\n%s", key.pkg, strings.Join(r.output[key], ""))
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -159,7 +159,7 @@
 	}
 	changes, err := c.store.Changes(r.Context(), document.Revision(after), historyPageSize)
 	if err != nil {
-		c.writeError(w, "", err)
+		c.log.Warn("history not read", "code", c.writeError(w, err), "after", after, "err", err)
 		return
 	}
 	writeJSON(w, http.StatusOK, changes)
--- a/internal/controller/document.go
+++ b/internal/controller/document.go
@@ -112,12 +112,12 @@
 func (c *Controller) servePut(w http.ResponseWriter, r *http.Request, token document.Hash) {
 	name := document.SectionName(r.PathValue("section"))
 	if !c.owns(token, name) {
-		c.writeError(w, name, document.ErrForbidden)
+		c.refuseChange(w, name, document.ErrForbidden)
 		return
 	}
 	edit, err := readSectionEdit(w, r)
 	if err != nil {
-		c.writeError(w, name, err)
+		c.refuseChange(w, name, err)
 		return
 	}
 	accepted, err := c.acceptEdit(r.Context(), edit, token)
@@ -126,7 +126,7 @@
 		return
 	}
 	if err != nil {
-		c.writeError(w, name, err)
+		c.refuseChange(w, name, err)
 		return
 	}
 	c.log.Info("change accepted", "change", accepted.ID, "section", name, "revision", accepted.Revision)
@@ -224,9 +224,13 @@
 	return found, len(found) == int(current.Version-after)
 }
 
-// writeError answers with the error. It logs every error as a refused change, also if no change was made and only the
-// history could not be read.
-func (c *Controller) writeError(w http.ResponseWriter, name document.SectionName, err error) {
+// refuseChange answers with the error of a change that was refused.
+func (c *Controller) refuseChange(w http.ResponseWriter, name document.SectionName, err error) {
+	c.log.Info("change refused", "section", name, "code", c.writeError(w, err), "err", err)
+}
+
+// writeError answers with the error and returns its code.
+func (c *Controller) writeError(w http.ResponseWriter, err error) string {
 	failure := Failure{
 		Code:    "Internal",
 		Message: err.Error(),
@@ -246,6 +250,6 @@
 	case errors.Is(err, document.ErrUnavailable), errors.Is(err, document.ErrContended):
 		status, failure.Code = http.StatusServiceUnavailable, "Unavailable"
 	}
-	c.log.Info("change refused", "section", name, "code", failure.Code, "err", err)
 	writeJSON(w, status, failure)
+	return failure.Code
 }
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -42,6 +42,7 @@
 		result = r.unknownResult(index, err.Error())
 	}
 	r.setResult(index, result, time.Since(started))
+	r.dispatcher.itemEnded(r.active.Service)
 	return failure{}, true
 }
 
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -21,6 +21,8 @@
 	row job.ActiveRow
 	// claimableLots holds the lots that this process may claim, as of the last listing.
 	claimableLots []job.LotRow
+	// unpreferred says that other processes are preferred for claimableLots.
+	unpreferred bool
 	// listedAt is when the last listing began.
 	listedAt time.Time
 	// unfinished is the number of unfinished items, as of the last listing.
--- a/internal/dispatcher/scan.go
+++ b/internal/dispatcher/scan.go
@@ -89,6 +89,9 @@
 		}
 		lot := state.claimableLots[0]
 		state.claimableLots = state.claimableLots[1:]
+		if !d.mayStillClaim(state, lot) {
+			continue
+		}
 		if !d.claim(ctx, state.row, lot) {
 			// The listing is out of date, or the table is unavailable.
 			state.claimableLots = nil
@@ -98,6 +101,12 @@
 	}
 }
 
+// mayStillClaim reports whether this process may claim a lot of the last listing. Since then, other processes may have
+// become known that are preferred for the lot and claim it as well.
+func (d *Dispatcher) mayStillClaim(state *jobState, lot job.LotRow) bool {
+	return state.unpreferred || d.isAbandonedClaim(state.row, lot) || d.isPreferred(state.row, lot.Lot)
+}
+
 // lotItems returns the approximate number of items in a lot of the job.
 func lotItems(row job.ActiveRow) int {
 	return max(1, row.Items/max(1, row.Lots))
@@ -133,7 +142,8 @@
 		state.unfinished = state.row.Items - tally.Counts.Completed - tally.Counts.Failed
 		state.claimableLots = d.findClaimable(state.row, lots)
 		// Fall back to a lot for which another process is preferred.
-		if len(state.claimableLots) == 0 && d.mayClaimUnpreferred(state.row) {
+		state.unpreferred = len(state.claimableLots) == 0 && d.mayClaimUnpreferred(state.row)
+		if state.unpreferred {
 			state.claimableLots = d.lastUnclaimed(state.row, lots)
 		}
 		if tally.IsJobDone(state.row.Lots, len(lots), state.row.Cancelled) {
--- a/internal/document/accept.go
+++ b/internal/document/accept.go
@@ -165,8 +165,11 @@
 	}
 	outcomeUnknown := false
 	for attempt := range acceptAttempts {
-		if waitErr := backoff(ctx, attempt); waitErr != nil {
+		if waitErr := backoff(ctx, attempt); waitErr != nil && outcomeUnknown {
 			return errors.Join(tablestore.ErrUnknown, waitErr)
+		} else if waitErr != nil {
+			// Nothing was sent.
+			return errors.Join(tablestore.ErrUnavailable, waitErr)
 		}
 		err = s.table.Commit(ctx, txn)
 		if err == nil || errors.Is(err, tablestore.ErrConflict) {
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -124,17 +124,17 @@
 	return targets
 }
 
-// unknownTargets returns a few of the listed addresses at which no member is known to be alive.
+// unknownTargets returns a few different ones of the listed addresses at which no member is known to be alive.
 func (f *Fleet) unknownTargets() []target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var targets []target
-	for range min(len(f.unknown), unknownPerRound) {
+	for _, i := range rand.Perm(len(f.unknown))[:min(len(f.unknown), unknownPerRound)] {
 		targets = append(targets, target{
-			address: f.unknown[rand.IntN(len(f.unknown))],
+			address: f.unknown[i],
 		})
 	}
-	return slices.Compact(targets)
+	return targets
 }
 
 func (f *Fleet) sendHeartbeat(ctx context.Context, to target) {
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,7 +42,7 @@
 func (plainHeaders) Outgoing(from http.Header, send SendParams) http.Header {
 	to := from.Clone()
 	if send.Resumes {
-		to.Set("Resume-After", fmt.Sprint(send.After))
+		to.Set("Resume-After", strconv.FormatInt(send.After, 10))
 	}
 	return to
 }
@@ -209,11 +210,6 @@
 	return "HTTP/1.1 200 OK\r\n" + idHeader + ": " + id + "\r\nContent-Type: text/event-stream\r\n" + strings.Join(lines, "") + "\r\n"
 }
 
-// soundStream answers with three events.
-func soundStream(id string, _ *http.Request, conn net.Conn) {
-	_, _ = io.WriteString(conn, answerHead(id, "Connection: close\r\n")+soundBody)
-}
-
 const soundBody = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
 // endless lists the ways in which an endpoint can send bytes until the connection is closed.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -27,7 +27,7 @@
 		faults = append(faults, jsonc.FieldFault{
 			Field: "VM.Address",
 			Wrong: "has the value " + s.VM.Address,
-			Want:  "the number by which peers reach this VM",
+			Want:  "the IP address by which peers reach this VM",
 		})
 	}
 	faults = append(faults, bothOrNone("TLS.Caller.CertificateFile", s.TLS.Caller.CertificateFile, "TLS.Caller.KeyFile", s.TLS.Caller.KeyFile)...)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,7 +77,7 @@
 		"address that no peer can reach": {
 			old:  `"10.0.0.11"`,
 			new:  `"0.0.0.0"`,
-			want: []string{`vm.jsonc:5: VM.Address: has the value 0.0.0.0; want the number by which peers reach this VM`},
+			want: []string{`vm.jsonc:5: VM.Address: has the value 0.0.0.0; want the IP address by which peers reach this VM`},
 		},
 		"duration without a unit": {
 			old:  `"500ms"`,
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -16,13 +16,15 @@
 	Outage bool
 	// Delay is added to every request.
 	Delay time.Duration
-	// LoseAnswers is the share of writes, from 0 to 1, whose answer is lost after they took effect.
+	// LoseAnswers is the share of writes, from 0 to 1, whose answer is lost. A write whose condition failed counts as
+	// well.
 	LoseAnswers float64
-	// LoseNext is the number of next writes whose answer is lost after they took effect.
-	LoseNext int
+	// LoseNext is the number of next writes whose answer is lost, LoseEffective that of the next ones that take effect.
+	LoseNext      int
+	LoseEffective int
 	// StaleReads is the number of next reads that return the row as it was before its last write.
 	StaleReads int
-	// Kind is a prefix of names: LoseAnswers and LoseNext apply only to writes to partitions or objects whose names begin
+	// Kind is a prefix of names: LoseAnswers, LoseNext and LoseEffective apply only to writes to partitions or objects whose names begin
 	// with it.
 	Kind string
 }
@@ -56,7 +58,7 @@
 }
 
 // loseAnswer reports whether the answer to a write to the partition or object of the given name is to be lost.
-func (f *Faults) loseAnswer(name string) bool {
+func (f *Faults) loseAnswer(name string, tookEffect bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(name) < len(f.fault.Kind) || name[:len(f.fault.Kind)] != f.fault.Kind {
@@ -66,6 +68,10 @@
 		f.fault.LoseNext--
 		return true
 	}
+	if f.fault.LoseEffective > 0 && tookEffect {
+		f.fault.LoseEffective--
+		return true
+	}
 	return f.fault.LoseAnswers > 0 && f.rng.Float64() < f.fault.LoseAnswers
 }
 
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -107,7 +107,7 @@
 		modified: time.Now(),
 	}
 	o.mu.Unlock()
-	if o.Faults.loseAnswer(name) {
+	if o.Faults.loseAnswer(name, true) {
 		dropConnection()
 	}
 	w.WriteHeader(http.StatusOK)
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -164,7 +164,7 @@
 		return
 	}
 	firstPartition, failure := t.apply(in)
-	if t.Faults.loseAnswer(firstPartition) {
+	if t.Faults.loseAnswer(firstPartition, failure == nil) {
 		dropConnection()
 	}
 	if failure != nil {
--- a/internal/vm/conns_test.go
+++ b/internal/vm/conns_test.go
@@ -1,11 +1,13 @@
 package vm
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -71,9 +73,7 @@
 			reaper.sweep(time.Now(), limits)
 			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
 			_, err = io.Copy(io.Discard, conn)
-			timeout, ok := err.(net.Error)
-			stillOpen := ok && timeout.Timeout()
-			assert.Equal(t, !stillOpen, c.closed)
+			assert.Equal(t, !errors.Is(err, os.ErrDeadlineExceeded), c.closed)
 		})
 	}
 }
--- a/test/online_call_test.go
+++ b/test/online_call_test.go
@@ -91,6 +91,16 @@
 			runs:         1,
 			replayed:     true,
 		},
+		"answers of the record's and of the result's write lost": {
+			fault: standin.Fault{
+				LoseEffective: 2,
+				Kind:          "Call/",
+			},
+			firstStatus:  http.StatusOK,
+			resentStatus: http.StatusOK,
+			runs:         1,
+			replayed:     true,
+		},
 		"run and no answer": {
 			plain: standin.Misbehaviour{
 				Kind:  standin.MisbehaviourDrop,
@@ -141,7 +151,9 @@
 			plain.Misbehaviours.Set(tt.plain)
 			c.platform.Table.Faults.Set(tt.fault)
 			response, body, err := c.confirm(t.Context(), 0, key)
+			left := c.platform.Table.Faults.Current()
 			c.platform.Table.Faults.Set(standin.Fault{})
+			assert.Equal(t, left.LoseNext+left.LoseEffective, 0, "answers that were not lost")
 			plain.Misbehaviours.Set(standin.Misbehaviour{})
 			assert.NilError(t, err)
 			assert.Equal(t, response.StatusCode, tt.firstStatus, body)
