--- /dev/null
+++ b/test/platform/endless_test.go
@@ -0,0 +1,143 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endlessAnswers holds what an engine sends at first and then repeats until the connection closes. ID stands for the
+// request's id.
+var endlessAnswers = []struct {
+	first  string
+	repeat string
+}{
+	{first: "HTTP/1.1 200 OK\r\nA: ", repeat: "x"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n", repeat: "A: b\r\n"},
+	{repeat: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\n", repeat: "x"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\n", repeat: "\n"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\n", repeat: ": x\n\n"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\nid: 1\n", repeat: "data: x\n"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\n", repeat: "data: x\n\n"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "0"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n1;", repeat: "a=b;"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", repeat: "A: b\r\n"},
+	{first: "HTTP/1.1 503 Full\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\n\r\n", repeat: "x"},
+	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Encoding: gzip\r\n\r\n", repeat: "x"},
+}
+
+// serveEndless answers each connection at the address with endless bytes.
+func (c *cluster) serveEndless(address string, first, repeat string) {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	data := []byte(strings.Repeat(repeat, 1+(16<<10)/len(repeat)))
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() {
+					_ = conn.Close()
+				}()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, err = io.WriteString(conn, strings.ReplaceAll(first, "ID", request.Header.Get("X-Attempt-Id")))
+				for err == nil {
+					_, err = conn.Write(data)
+				}
+			}()
+		}
+	}()
+}
+
+// putEndlessEngines lists engines that send bytes without end.
+func (c *cluster) putEndlessEngines(count int) {
+	c.t.Helper()
+	for n := range count {
+		answer := endlessAnswers[n%len(endlessAnswers)]
+		address := c.address(120+n, portEngine)
+		c.serveEndless(address, answer.first, answer.repeat)
+		c.store.put("servers", fmt.Sprint("endless-", n), map[string]any{
+			"service": "llm", "address": address, "zone": "a", "slots": 2, "state": "ready",
+		})
+	}
+}
+
+// peakMemoryMB returns the highest resident memory of a VM's process so far.
+func (c *cluster) peakMemoryMB(vm int) int {
+	c.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.processes[vm].command.Process.Pid))
+	assert.NilError(c.t, err)
+	for line := range strings.Lines(string(status)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.Atoi(strings.Fields(value)[0])
+			assert.NilError(c.t, err)
+			return kilobytes >> 10
+		}
+	}
+	c.t.Fatal("no VmHWM")
+	return 0
+}
+
+// TestEndlessAnswersOfEngines checks that a VM stays within the memory of the smallest VMs while 100 of 101 engines send
+// bytes without end to requests and items, and that no caller gets an answer that looks complete and is not the sound
+// engine's.
+func TestEndlessAnswersOfEngines(t *testing.T) {
+	t.Parallel()
+	const engines, requests, maxMemoryMB = 100, 200, 160
+	sound := newEngineStandin("sound", 8, 3, eventInterval)
+	c := newPlatform(t, 118, sound)
+	c.putEndlessEngines(engines)
+	c.startAll(1)
+	assert.Equal(t, c.send(0, http.MethodPost, "/jobs/x", "j", jobBody("j", 10, "b", 10)).status, http.StatusAccepted)
+	var callers sync.WaitGroup
+	begun := time.Now()
+	for n := range requests {
+		callers.Go(func() {
+			id := fmt.Sprint("r", n)
+			path := []string{"/resumable/x", "/once/x"}[n%2]
+			request := c.request(0, http.MethodPost, path, id, "")
+			request.Header.Set("X-Deadline-Ms", "3000")
+			got := doRequest(http.DefaultClient, request)
+			if got.err == nil && got.status == http.StatusOK {
+				assert.Check(t, got.body == wholeStream(id, 3), "%s: %d bytes look complete", id, len(got.body))
+			}
+		})
+	}
+	callers.Wait()
+	assert.Check(t, time.Since(begun) < 5*time.Second)
+	peak := c.peakMemoryMB(0)
+	t.Logf("peak of the VM's resident memory: %d MB", peak)
+	assert.Check(t, peak < maxMemoryMB)
+}
+
+// TestEndlessAnswersToItems checks that a batch job completes although one engine after the other sends bytes without
+// end.
+func TestEndlessAnswersToItems(t *testing.T) {
+	t.Parallel()
+	sound := newEngineStandin("sound", 8, 3, eventInterval)
+	c := newPlatform(t, 119, sound)
+	c.putEndlessEngines(len(endlessAnswers))
+	c.startAll(1)
+	assert.Equal(t, c.send(0, http.MethodPost, "/jobs/x", "j", jobBody("j", 6, "b", 10)).status, http.StatusAccepted)
+	c.waitResults(0, "j", 6, 3)
+}
