endpoint: bounds for answers without end in the three processes

The decoder of events collects the data lines of an event without a bound, and skips blank lines and comments for as long as they come; headers were bounded by the library's 10 MB. An event, with what comes before it, is bounded by 1 MB, headers by 64 KB, a load report by 64 KB.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -29,6 +29,10 @@
 	dialTimeout     = time.Second
 	idleConnections = 256
 	idleTimeout     = 90 * time.Second
+	// maxHeaderBytes bounds the headers of an answer, together with those of informational answers before it.
+	maxHeaderBytes = 64 << 10
+	// maxEventBytes bounds an event of a stream, together with blank lines and comments before it.
+	maxEventBytes = 1 << 20
 )
 
 // NewClient returns a client that reuses connections to endpoints, but only for idempotent requests.
@@ -45,12 +49,13 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableKeepAlives:   !keepAlive,
-			MaxIdleConns:        0,
-			MaxIdleConnsPerHost: idleConnections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DialContext:            dialer.DialContext,
+			DisableKeepAlives:      !keepAlive,
+			MaxIdleConns:           0,
+			MaxIdleConnsPerHost:    idleConnections,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -66,6 +71,25 @@
 	Streamed bool
 	body     io.ReadCloser
 	events   ssestream.Decoder
+	// limit bounds what is read for one event of a stream.
+	limit *eventLimit
+}
+
+// eventLimit is a body that can't be read further once maxEventBytes were read without a complete event. The decoder of
+// events has no such limit.
+type eventLimit struct {
+	io.ReadCloser
+	read int
+}
+
+// Read reads from the body. It returns ErrTooLarge if an event is too large.
+func (l *eventLimit) Read(data []byte) (int, error) {
+	if l.read > maxEventBytes {
+		return 0, ErrTooLarge
+	}
+	n, err := l.ReadCloser.Read(data)
+	l.read += n
+	return n, err
 }
 
 // endMarker is the data of the event that ends a stream.
@@ -106,6 +130,10 @@
 	}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		answer.Streamed = true
+		answer.limit = &eventLimit{
+			ReadCloser: response.Body,
+		}
+		response.Body = answer.limit
 		answer.events = ssestream.NewDecoder(response)
 	}
 	return answer, nil
@@ -132,6 +160,7 @@
 // it.
 func (a *Answer) Next() ([]byte, error) {
 	for a.events.Next() {
+		a.limit.read = 0
 		data := bytes.TrimSpace(a.events.Event().Data)
 		if len(data) == 0 {
 			continue
--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 
 	"github.com/dghubble/sling"
@@ -21,19 +24,28 @@
 	Batch  int
 }
 
+// maxLoadBytes bounds the body of a load report.
+const maxLoadBytes = 64 << 10
+
 // Load requests an engine's load.
 func (c *Client) Load(ctx context.Context, target Endpoint) (Load, error) {
 	req, err := sling.New().Base("http://" + target.Address).Get("/load").Request()
 	if err != nil {
 		return Load{}, err
 	}
-	var load Load
-	response, err := sling.New().Client(c.pooled).Do(req.WithContext(ctx), &load, nil)
+	response, err := c.pooled.Do(req.WithContext(ctx))
 	if err != nil {
 		return Load{}, sendError(err)
 	}
+	defer func() {
+		_ = response.Body.Close()
+	}()
 	if response.StatusCode != http.StatusOK {
 		return Load{}, ErrBroken
 	}
+	var load Load
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&load); err != nil {
+		return Load{}, errors.Join(ErrBroken, err)
+	}
 	return load, nil
 }
