pool: decisions whose cost does not grow with the queue

Cause: each decision asked every endpoint and every run for each ticket that waits, also after a ticket that avoids no endpoint had found neither a free slot nor a batch run to revoke, so that none could serve the others either. With 1,000 requests a second, two decisions each and 200 waiting, that is more than a core, on the VM that is the steward.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -57,7 +57,7 @@
 }
 
 // accepts reports whether the endpoint can take the ticket as far as its state allows; free slots are not considered.
-func (e *endpoint) accepts(t Ticket, now time.Time) bool {
+func (e *endpoint) accepts(t *Ticket, now time.Time) bool {
 	return !e.gone && !e.Leaving && !now.Before(e.backoffUntil) && !slices.Contains(t.Avoid, e.ID)
 }
 
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -46,6 +46,8 @@
 	// the factor large; zero means none.
 	vms   int
 	large float64
+	// avoiding means that every third request avoids one endpoint.
+	avoiding bool
 }
 
 const (
@@ -108,7 +110,7 @@
 }
 
 type sim struct {
-	t      *testing.T
+	t      testing.TB
 	load   load
 	random *rand.Rand
 	pool   *Pool
@@ -118,6 +120,8 @@
 	events   simEvents
 	requests map[TicketID]*simRequest
 	got      simResult
+	// decided is called after each decision, unless nil.
+	decided func()
 	// sentBy and servedFor count the online requests that each VM sent and that were served; large and largeDue count
 	// the items that are larger than usual and those of them done by their due time.
 	sentBy, servedFor map[VMName]int
@@ -141,14 +145,14 @@
 	return l
 }
 
-func simulate(t *testing.T, l load) simResult {
+func simulate(t testing.TB, l load) simResult {
 	t.Helper()
 	s := newSim(t, l)
 	s.simulate()
 	return s.got
 }
 
-func newSim(t *testing.T, l load) *sim {
+func newSim(t testing.TB, l load) *sim {
 	t.Helper()
 	return &sim{
 		t:         t,
@@ -180,6 +184,9 @@
 		s.now = event.at
 		event.do()
 		s.decide()
+		if s.decided != nil {
+			s.decided()
+		}
 	}
 }
 
@@ -259,12 +266,17 @@
 		start = s.start.Add(r.due - r.left)
 		expires = s.start.Add(time.Hour)
 	}
+	var avoid []inventory.ID
+	if s.load.avoiding && s.random.IntN(3) == 0 {
+		avoid = append(avoid, inventory.ID(strconv.Itoa(s.random.IntN(s.load.endpoints))))
+	}
 	s.pool.Enqueue(Ticket{
 		ID:      id,
 		VM:      r.vm,
 		Class:   r.class,
 		Start:   start,
 		Expires: expires,
+		Avoid:   avoid,
 	}, s.start.Add(s.now))
 }
 
@@ -508,3 +520,42 @@
 		assert.Assert(t, s.largeDue*2 > s.large*s.got.itemsDue/s.got.items, "seed %d: %d of %d large, %+v", seed, s.largeDue, s.large, s.got)
 	}
 }
+
+// TestNoTicketWaitsBesideASlot plays a load with peaks beyond all slots, in which some requests avoid endpoints, and
+// checks after each decision, by asking for each waiting ticket, that none could be served. Decide itself stops asking at
+// the first ticket that avoids no endpoint and gets no slot.
+func TestNoTicketWaitsBesideASlot(t *testing.T) {
+	s := newSim(t, usualLoad(3, func(l *load) {
+		l.high = 150
+		l.length = 20 * time.Second
+		l.avoiding = true
+	}))
+	waited := 0
+	s.decided = func() {
+		now := s.start.Add(s.now)
+		onTimeUnserved := false
+		for i := range s.pool.online {
+			onTimeUnserved = onTimeUnserved || !s.pool.online[i].late(now)
+		}
+		for i := range s.pool.online {
+			ticket := &s.pool.online[i]
+			if ticket.late(now) && onTimeUnserved {
+				continue
+			}
+			waited++
+			assert.Assert(t, s.pool.freeEndpoint(ticket, now) == nil, "%s waits beside a free slot", ticket.ID)
+			for _, r := range s.pool.batchRuns {
+				e := s.pool.endpoints[r.endpoint]
+				assert.Assert(t, e == nil || !e.accepts(ticket, now), "%s waits beside the batch run %s", ticket.ID, r.ticket.ID)
+			}
+		}
+		if len(s.pool.online) > 0 {
+			return
+		}
+		for i := range s.pool.batch {
+			assert.Assert(t, s.pool.freeEndpoint(&s.pool.batch[i], now) == nil, "%s waits beside a free slot", s.pool.batch[i].ID)
+		}
+	}
+	s.simulate()
+	assert.Assert(t, waited > 1000, "only %d tickets waited", waited)
+}
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -22,40 +23,49 @@
 	if len(p.online) == 0 {
 		return
 	}
-	p.grantWhere(now, func(t Ticket) bool {
+	p.grantWhere(now, func(t *Ticket) bool {
 		return t.Begun
 	})
-	unserved := p.grantWhere(now, func(t Ticket) bool {
+	unserved := p.grantWhere(now, func(t *Ticket) bool {
 		return !t.late(now)
 	})
 	if !unserved {
-		p.grantWhere(now, func(Ticket) bool {
+		p.grantWhere(now, func(*Ticket) bool {
 			return true
 		})
 	}
 }
 
-// grantWhere grants slots to the eligible online tickets and reports whether one of them got none.
-func (p *Pool) grantWhere(now time.Time, eligible func(Ticket) bool) bool {
-	remaining := p.online[:0]
+// grantWhere grants slots to the eligible online tickets and reports whether one of them got none. Its time does not grow
+// with the number of tickets that wait in vain, of which there are hundreds in a load peak.
+func (p *Pool) grantWhere(now time.Time, eligible func(*Ticket) bool) bool {
+	// kept is the number of tickets among the first i that stay in the queue.
+	kept := 0
 	unserved := false
-	for _, t := range p.online {
-		if !eligible(t) {
-			remaining = append(remaining, t)
-			continue
-		}
-		e := p.freeEndpoint(t, now)
-		if e == nil {
-			e = p.revoke(t, now)
-		}
-		if e == nil {
+	for i := range p.online {
+		t := &p.online[i]
+		if eligible(t) {
+			e := p.freeEndpoint(t, now)
+			if e == nil {
+				e = p.revoke(t, now)
+			}
+			if e != nil {
+				p.grant(*t, e, now)
+				continue
+			}
 			unserved = true
-			remaining = append(remaining, t)
-			continue
+			if len(t.Avoid) == 0 {
+				// No endpoint can serve a ticket that avoids none, so none can serve the others either.
+				p.online = slices.Delete(p.online, kept, i)
+				return true
+			}
+		}
+		if kept != i {
+			p.online[kept] = *t
 		}
-		p.grant(t, e, now)
+		kept++
 	}
-	p.online = remaining
+	p.online = slices.Delete(p.online, kept, len(p.online))
 	return unserved
 }
 
@@ -73,42 +83,44 @@
 // grantBatchWhere grants slots to the batch tickets that are late, or to those that are not, and reports whether free
 // slots may remain.
 func (p *Pool) grantBatchWhere(now time.Time, late bool) bool {
-	remaining := p.batch[:0]
-	for i, t := range p.batch {
-		if t.late(now) != late {
-			remaining = append(remaining, t)
-			continue
+	kept := 0
+	for i := range p.batch {
+		t := &p.batch[i]
+		if t.late(now) == late {
+			e := p.freeEndpoint(t, now)
+			if e != nil {
+				p.grant(*t, e, now)
+				continue
+			}
+			if len(t.Avoid) == 0 {
+				// No endpoint is free for a ticket that avoids none, so none is free for the others either.
+				p.batch = slices.Delete(p.batch, kept, i)
+				return false
+			}
 		}
-		e := p.freeEndpoint(t, now)
-		if e == nil && len(t.Avoid) == 0 {
-			// No endpoint is free for a ticket that avoids none, so none is free for the others either.
-			p.batch = append(remaining, p.batch[i:]...)
-			return false
+		if kept != i {
+			p.batch[kept] = *t
 		}
-		if e == nil {
-			remaining = append(remaining, t)
-			continue
-		}
-		p.grant(t, e, now)
+		kept++
 	}
-	p.batch = remaining
+	p.batch = slices.Delete(p.batch, kept, len(p.batch))
 	return true
 }
 
 // late reports whether it is too late for a run that begins now to be on time: an online request would get its first
 // event after its objective, a batch item would be complete after its due time.
-func (t Ticket) late(now time.Time) bool {
+func (t *Ticket) late(now time.Time) bool {
 	return now.After(t.Start)
 }
 
 func (p *Pool) grant(t Ticket, e *endpoint, now time.Time) {
 	delete(p.waiting, t.key())
 	e.running++
-	p.runs[t.key()] = &run{
+	p.addRun(&run{
 		ticket:   t,
 		endpoint: e.ID,
 		since:    now,
-	}
+	})
 	p.outcomes = append(p.outcomes, Outcome{
 		Kind:     OutcomeGrant,
 		VM:       t.VM,
@@ -119,7 +131,7 @@
 
 // freeEndpoint returns the best endpoint with a free slot for the ticket, as defined by better, or nil if there is none.
 // Ties are broken round-robin.
-func (p *Pool) freeEndpoint(t Ticket, now time.Time) *endpoint {
+func (p *Pool) freeEndpoint(t *Ticket, now time.Time) *endpoint {
 	var best *endpoint
 	p.roundRobin++
 	for i := range p.byID {
@@ -136,7 +148,7 @@
 
 // better reports whether a should be preferred to b for the ticket: for online tickets slow endpoints come last, then
 // the number of free slots decides, then whether the endpoint is in the VM's failure domain.
-func (p *Pool) better(t Ticket, a, b *endpoint, now time.Time) bool {
+func (p *Pool) better(t *Ticket, a, b *endpoint, now time.Time) bool {
 	if t.Class == ClassOnline {
 		if aSlow, bSlow := p.slow(a, now), p.slow(b, now); aSlow != bSlow {
 			return bSlow
@@ -147,13 +159,10 @@
 
 // revoke revokes the slot of the batch run that comes first according to revokeBefore, and returns its endpoint, or nil
 // if there is no batch run. It chooses a run at a slow endpoint only if there is no other.
-func (p *Pool) revoke(t Ticket, now time.Time) *endpoint {
+func (p *Pool) revoke(t *Ticket, now time.Time) *endpoint {
 	var victim *run
 	victimSlow := false
-	for _, r := range p.runs {
-		if r.ticket.Class != ClassBatch || !r.revoked.IsZero() {
-			continue
-		}
+	for _, r := range p.batchRuns {
 		e := p.endpoints[r.endpoint]
 		if e == nil || !e.accepts(t, now) {
 			continue
@@ -167,6 +176,7 @@
 		return nil
 	}
 	victim.revoked = now
+	delete(p.batchRuns, victim.ticket.key())
 	p.outcomes = append(p.outcomes, Outcome{
 		Kind:   OutcomeRevoke,
 		VM:     victim.ticket.VM,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -199,6 +199,10 @@
 	waiting map[key]Class
 	// runs holds the tickets that hold a slot, and the revoked ones until their VM has released them.
 	runs map[key]*run
+	// batchRuns holds the batch runs that have not been revoked.
+	batchRuns map[key]*run
+	// firstExpiry is no later than the earliest time at which a waiting ticket expires, zero if none waits.
+	firstExpiry time.Time
 	// outcomes and assessments hold what was added since they were last read.
 	outcomes    []Outcome
 	assessments []Assessment
@@ -220,6 +224,7 @@
 		endpoints: map[inventory.ID]*endpoint{},
 		waiting:   map[key]Class{},
 		runs:      map[key]*run{},
+		batchRuns: map[key]*run{},
 		meanRun:   initialMeanRun,
 	}
 }
@@ -275,6 +280,9 @@
 		p.arrivals++
 	}
 	p.waiting[t.key()] = t.Class
+	if p.firstExpiry.IsZero() || t.Expires.Before(p.firstExpiry) {
+		p.firstExpiry = t.Expires
+	}
 	queue := p.queue(t.Class)
 	position, _ := slices.BinarySearchFunc(*queue, t, compareTickets)
 	*queue = slices.Insert(*queue, position, t)
@@ -286,16 +294,23 @@
 	if p.runs[t.key()] != nil {
 		return
 	}
-	p.runs[t.key()] = &run{
+	p.addRun(&run{
 		ticket:   t,
 		endpoint: at,
 		since:    now,
-	}
+	})
 	if e := p.endpoints[at]; e != nil {
 		e.running++
 	}
 }
 
+func (p *Pool) addRun(r *run) {
+	p.runs[r.ticket.key()] = r
+	if r.ticket.Class == ClassBatch {
+		p.batchRuns[r.ticket.key()] = r
+	}
+}
+
 // Withdraw removes a waiting ticket.
 func (p *Pool) Withdraw(vm VMName, id TicketID) {
 	k := key{
@@ -326,6 +341,7 @@
 		return
 	}
 	delete(p.runs, k)
+	delete(p.batchRuns, k)
 	e := p.endpoints[r.endpoint]
 	if e == nil {
 		return
@@ -383,7 +399,7 @@
 func (p *Pool) Slots(now time.Time) int {
 	slots := 0
 	for _, e := range p.byID {
-		if e.accepts(Ticket{}, now) {
+		if e.accepts(&Ticket{}, now) {
 			slots += e.limit()
 		}
 	}
--- a/internal/pool/refuse.go
+++ b/internal/pool/refuse.go
@@ -32,14 +32,14 @@
 		spare = max(minLateShare*rate, rate-p.arrivals/arrivalWindow.Seconds())
 	}
 	waitingOnTime := 0
-	for _, t := range p.online {
-		if !t.late(now) {
+	for i := range p.online {
+		if !p.online[i].late(now) {
 			waitingOnTime++
 		}
 	}
-	remaining := p.online[:0]
-	ahead, late := 0, 0
-	for _, t := range p.online {
+	kept, ahead, late := 0, 0, 0
+	for i := range p.online {
+		t := &p.online[i]
 		// inTime means that the ticket is expected to get a slot early enough to be on time.
 		inTime := !t.late(now) && !now.Add(seconds(float64(ahead+1)/rate)).After(t.Start)
 		// A late ticket waits behind all tickets that can still be on time, and behind the late ones ahead of it. This
@@ -53,14 +53,17 @@
 			p.refuse(t, wait)
 			continue
 		}
-		remaining = append(remaining, t)
+		if kept != i {
+			p.online[kept] = *t
+		}
+		kept++
 		if inTime {
 			ahead++
 		} else {
 			late++
 		}
 	}
-	p.online = remaining
+	p.online = slices.Delete(p.online, kept, len(p.online))
 }
 
 func seconds(s float64) time.Duration {
@@ -80,7 +83,7 @@
 
 // refuse refuses a ticket that was removed from its queue. The outcome suggests to the caller to retry after wait, when
 // the current queue is expected to have been served.
-func (p *Pool) refuse(t Ticket, wait time.Duration) {
+func (p *Pool) refuse(t *Ticket, wait time.Duration) {
 	delete(p.waiting, t.key())
 	// Jitter of up to a third either way spreads the retries of callers that are refused together.
 	wait = time.Duration(float64(wait) * (2.0/3 + rand.Float64()*2/3))
@@ -92,14 +95,22 @@
 	})
 }
 
+// expire refuses the tickets that have expired.
 func (p *Pool) expire(now time.Time) {
+	if p.firstExpiry.IsZero() || now.Before(p.firstExpiry) {
+		return
+	}
+	p.firstExpiry = time.Time{}
 	for _, class := range []Class{ClassOnline, ClassBatch} {
 		queue := p.queue(class)
 		*queue = slices.DeleteFunc(*queue, func(t Ticket) bool {
 			if now.Before(t.Expires) {
+				if p.firstExpiry.IsZero() || t.Expires.Before(p.firstExpiry) {
+					p.firstExpiry = t.Expires
+				}
 				return false
 			}
-			p.refuse(t, defaultRetryAfter)
+			p.refuse(&t, defaultRetryAfter)
 			return true
 		})
 	}
