--- a/internal/pool/message_bench_test.go
+++ b/internal/pool/message_bench_test.go
@@ -60,7 +60,11 @@
 // serveSteward serves a steward until standard input is closed, and then prints its processor time in microseconds and
 // the bytes that it sent and received.
 func serveSteward(endpoints int) {
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	null, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	if err != nil {
+		panic(err)
+	}
+	log := slog.New(slog.NewTextHandler(null, nil))
 	server := peer.NewServer(peer.Secret("s"), log)
 	var traffic peer.Traffic
 	server.CountTraffic(&traffic)
