roster, vm: one steward after all VMs restart

Several stewards grant the same slots, which endpoints reject. Now a VM is no steward before it has read the roster (500 ms after its start at the latest), and VMs first seen within a second of each other count as equally old. TestRankAfterRestartOfAll failed before. Ruled out: the age of rows by the store's clock, which would also agree after the restart of a single VM, but needs the store.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -44,9 +44,11 @@
 	// smallCores is the number of cores below which a VM is steward of a pool only if there is no larger one.
 	smallCores = 0.4
 	// youngFor is how long after a VM was first seen it is steward of a pool only if there is no older one: it is still
-	// loading the endpoints, and a VM that has just restarted is more likely to restart again. To a VM that has just
-	// started, all others are young as well.
+	// loading the endpoints, and a VM that has just restarted is more likely to restart again.
 	youngFor = 3 * time.Second
+	// sameStart is the difference in age up to which VMs count as equally old. After a restart of all VMs, the steward
+	// would otherwise change with each VM that reaches youngFor.
+	sameStart = time.Second
 )
 
 // Roster is the set of known VMs.
@@ -55,6 +57,8 @@
 	log  *slog.Logger
 	mu   sync.Mutex
 	vms  map[pool.VMName]entry
+	// loaded means that the table has been read at least once.
+	loaded bool
 }
 
 type entry struct {
@@ -119,6 +123,7 @@
 		listed[pool.VMName(row.Address.Key)] = true
 	}
 	r.mu.Lock()
+	r.loaded = true
 	for name := range r.vms {
 		if !listed[name] {
 			delete(r.vms, name)
@@ -163,11 +168,18 @@
 	}
 }
 
+// Loaded reports whether the table has been read at least once.
+func (r *Roster) Loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
 // stewardPenalty returns the group of a VM, by which Ranked sorts first: 0 for normal, 1 for small, 2 for young VMs, and
-// 3 for those that are both.
-func stewardPenalty(e entry) int {
+// 3 for those that are both. Oldest is when the oldest VM was first seen.
+func stewardPenalty(e entry, oldest time.Time) int {
 	penalty := 0
-	if time.Since(e.firstSeen) < youngFor {
+	if time.Since(e.firstSeen) < youngFor && e.firstSeen.Sub(oldest) > sameStart {
 		penalty = 2
 	}
 	if e.vm.Cores < smallCores {
@@ -201,6 +213,12 @@
 		penalty int
 		hash    uint64
 	}
+	oldest := time.Now()
+	for _, known := range r.vms {
+		if known.firstSeen.Before(oldest) {
+			oldest = known.firstSeen
+		}
+	}
 	list := make([]ranked, 0, len(r.vms))
 	for name, known := range r.vms {
 		list = append(list, ranked{
@@ -208,7 +226,7 @@
 				VM:      name,
 				Address: known.vm.Address,
 			},
-			penalty: stewardPenalty(known),
+			penalty: stewardPenalty(known, oldest),
 			hash:    xxhash.Sum64String(string(service) + "/" + string(name)),
 		})
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -47,6 +47,39 @@
 	})
 }
 
+// TestRankAfterRestartOfAll checks that the order of the VMs stays the same in the seconds after all of them have started
+// and registered one after the other. It used to change with each VM that had been known for youngFor, and differed between
+// VMs, so that several stewards granted the same slots.
+func TestRankAfterRestartOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 30
+		name := func(n int) pool.VMName { return pool.VMName(rune('a' + n)) }
+		r := New(VM{Name: name(0), Address: "0", Cores: 0.8}, slog.New(slog.DiscardHandler))
+		// The rows of the last start are still there.
+		var rows []store.Row
+		for n := range vms {
+			rows = append(rows, vmRow(t, VM{Name: name(n), Incarnation: "1", Address: "x", Cores: 0.8}, store.Revision(n)))
+		}
+		time.Sleep(50 * time.Millisecond)
+		r.Replace(rows)
+		first := r.Ranked("service")[0].VM
+		for n := 1; n < vms; n++ {
+			time.Sleep(20 * time.Millisecond)
+			r.Change([]store.Row{vmRow(t, VM{Name: name(n), Incarnation: "2", Address: "x", Cores: 0.8}, store.Revision(vms+n))})
+			assert.Equal(t, r.Ranked("service")[0].VM, first)
+		}
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Equal(t, r.Ranked("service")[0].VM, first)
+		}
+		// A VM that restarts later alone is young.
+		r.Change([]store.Row{vmRow(t, VM{Name: first, Incarnation: "3", Address: "x", Cores: 0.8}, 100)})
+		if first != name(0) {
+			assert.Assert(t, r.Ranked("service")[0].VM != first)
+		}
+	})
+}
+
 // TestRowsMoveForward checks that an older row does not replace a newer one, that an invalid row is ignored and that
 // Replace removes VMs that are not listed.
 func TestRowsMoveForward(t *testing.T) {
--- a/internal/vm/pools.go
+++ b/internal/vm/pools.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
 	"rhubarbrudder/internal/inventory"
 	"rhubarbrudder/internal/pool"
@@ -63,3 +64,19 @@
 	}
 	return false
 }
+
+// rosterWait bounds how long after its start a VM that has not read the roster is no steward.
+const rosterWait = 500 * time.Millisecond
+
+// stewardInventory is the inventory as stewards see it. It counts as loaded only when the roster is as well: a VM that
+// knows the endpoints and no other VM would be its own steward, and grant slots that others hold.
+type stewardInventory struct {
+	*inventory.Inventory
+	roster  *roster.Roster
+	started time.Time
+}
+
+// Loaded reports whether this VM can be a steward.
+func (i stewardInventory) Loaded() bool {
+	return i.Inventory.Loaded() && (i.roster.Loaded() || time.Since(i.started) > rosterWait)
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -126,7 +126,11 @@
 	}, func() {
 		p.stewards.EndpointsChanged()
 	}, log)
-	p.stewards = pool.NewStewards(p.inventory, log)
+	p.stewards = pool.NewStewards(stewardInventory{
+		Inventory: p.inventory,
+		roster:    p.roster,
+		started:   time.Now(),
+	}, log)
 	p.endpoints = store.NewFollower(direct, platform.TableEndpoints, endpointSink{process: p}, log)
 	p.operator = store.NewFollower(direct, platform.TableOperator, configSink{process: p}, log)
 	p.members = store.NewFollower(direct, roster.Table, p.roster, log)
