--- a/internal/batch/read_test.go
+++ b/internal/batch/read_test.go
@@ -54,9 +54,9 @@
 	}
 }
 
-// TestAdoptWhileResultsCannotBeRead checks that an adopted job runs although its results could not be read at first. The
-// new owner used to give up after it had written the claim, so that nobody ran the job until the next scans.
-func TestAdoptWhileResultsCannotBeRead(t *testing.T) {
+// adoptWithoutResults returns the old and the new owner of the job j, whose results can't be read a number of times.
+func adoptWithoutResults(t *testing.T, failingReads int) (*Manager, *Manager) {
+	t.Helper()
 	m := newMemoryStore()
 	a := newManager(t, m, "a")
 	b := newManager(t, m, "b")
@@ -64,10 +64,17 @@
 	a.Retire()
 	m.mu.Lock()
 	m.failingReads = map[store.Table]int{
-		tableResults: 3,
+		tableResults: failingReads,
 	}
 	m.mu.Unlock()
 	assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+	return a, b
+}
+
+// TestAdoptWhileResultsCannotBeRead checks that an adopted job runs although its results could not be read at first. The
+// new owner used to give up after it had written the claim, so that nobody ran the job until the next scans.
+func TestAdoptWhileResultsCannotBeRead(t *testing.T) {
+	_, b := adoptWithoutResults(t, 3)
 	j := owned(t, b, "j")
 	for _, item := range j.items {
 		j.results <- Result{
@@ -83,17 +90,7 @@
 
 // TestJobLostWhileResultsCannotBeRead checks that a new owner that can't read the results stops when the job is ended.
 func TestJobLostWhileResultsCannotBeRead(t *testing.T) {
-	m := newMemoryStore()
-	a := newManager(t, m, "a")
-	b := newManager(t, m, "b")
-	assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
-	a.Retire()
-	m.mu.Lock()
-	m.failingReads = map[store.Table]int{
-		tableResults: 1000,
-	}
-	m.mu.Unlock()
-	assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+	a, b := adoptWithoutResults(t, 1000)
 	assert.NilError(t, a.End(context.Background(), "j"))
 	ended := make(chan struct{})
 	go func() {
