review: stand-ins end with their script, and build without version control

Found on reading: the VMs of a script that is killed outright lived on, and go build asks git for a version that a review machine may not give.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins of the cases. It needs the Go toolchain and no network.
 set -e
 cd "$(dirname "$0")/standin"
-GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local go build -o ../../target/review-standin .
+mkdir -p ../../target
+GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o ../../target/review-standin .
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -44,7 +45,7 @@
 	servers  []*server
 	vms      []*vm
 	version  int
-	stopped  bool
+	stopped  atomic.Bool
 }
 
 // vm is a machine of the class front.
@@ -246,6 +247,7 @@
 	command := exec.Command(v.d.run[0], v.d.run[1:]...)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "RHUBARBRUDDER_CONFIG=" + v.settings}
 	command.Stdout, command.Stderr = v.log, v.log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -318,7 +320,7 @@
 func (d *deployment) watch() {
 	for _, v := range d.vms {
 		go func() {
-			for !d.stopped {
+			for !d.stopped.Load() {
 				ready := v.ready()
 				v.mu.Lock()
 				if ready {
@@ -360,7 +362,7 @@
 
 // stop ends all processes and removes the temporary folder, unless KEEP is set.
 func (d *deployment) stop() {
-	d.stopped = true
+	d.stopped.Store(true)
 	for _, v := range d.vms {
 		v.mu.Lock()
 		v.ended = true
