pool: a request goes back to an endpoint at which it failed

Cause: the endpoints at which a request failed were excluded for as long as it waited. Once each endpoint of the service was on the list, the pool never granted a slot.

Ruled out: the claim, the commit of results and the endpoint's backoff. In the log of the case the ticket is queued at the steward and gets no decision, while other tickets are granted at that endpoint.

Change: avoiding is a preference. It ends if no other endpoint is in use and sound, or after the ticket has waited for two seconds. A request that is rejected at all attempts is refused with Retry-After.

TestNoTicketWaitsBesideASlot asks Pool.avoided for what a ticket avoids now, and checks as much as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,6 +65,9 @@
 	stallNext  = 500 * time.Millisecond
 	// maxAttempts is the maximum number of attempts for one request.
 	maxAttempts = 6
+	// rejectedRetry is the retry delay for callers whose request was rejected at each attempt. In that time several of the
+	// requests that fill an endpoint end.
+	rejectedRetry = 400 * time.Millisecond
 )
 
 // New returns a forwarder.
@@ -446,9 +449,17 @@
 	if s.started || caller.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	var refused *pool.Refused
-	if status == http.StatusServiceUnavailable && errors.As(err, &refused) {
-		s.headers.SetRetryAfter(s.w.Header(), refused.RetryAfter)
+	if status == http.StatusServiceUnavailable {
+		s.headers.SetRetryAfter(s.w.Header(), retryAfter(err))
 	}
 	s.w.WriteHeader(status)
 }
+
+// retryAfter returns when the caller of a request that ended with the error and did not run should retry.
+func retryAfter(err error) time.Duration {
+	var refused *pool.Refused
+	if errors.As(err, &refused) {
+		return refused.RetryAfter
+	}
+	return rejectedRetry
+}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -58,9 +58,15 @@
 	}
 }
 
-// accepts reports whether the endpoint can take the ticket as far as its state allows; free slots are not considered.
-func (e *endpoint) accepts(t *Ticket, now time.Time) bool {
-	return !e.gone && !e.Leaving && !now.Before(e.backoffUntil) && !slices.Contains(t.Avoid, e.ID) && e.allowance.allows(now)
+// accepts reports whether the endpoint can take a ticket that avoids some endpoints, as far as its state allows; free slots
+// are not considered.
+func (e *endpoint) accepts(avoid []inventory.ID, now time.Time) bool {
+	return !e.gone && !e.Leaving && !now.Before(e.backoffUntil) && !slices.Contains(avoid, e.ID) && e.allowance.allows(now)
+}
+
+// sound reports whether the endpoint is in use and has not failed since its last success.
+func (e *endpoint) sound() bool {
+	return !e.gone && !e.Leaving && e.trialLimit == 0
 }
 
 // applyTrouble applies what a VM observed at the endpoint; TroubleNone is a success.
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rhubarbrudder/internal/inventory"
 )
 
 // compareTickets orders tickets by rank, then by the time at which they must start.
@@ -45,7 +47,7 @@
 	for i := range p.online {
 		t := &p.online[i]
 		if eligible(t) && !p.mustWait(t) {
-			e := p.freeEndpoint(t, now)
+			e := p.freeEndpoint(t, now, false)
 			if e == nil {
 				e = p.revoke(t, now)
 			}
@@ -69,26 +71,45 @@
 	return unserved
 }
 
-// grantBatch grants the remaining slots to batch tickets. Tickets that can still be completed by their due time go
-// first: in order of due time alone, an overload would make nearly all of them slightly late.
+// grantBatch grants the remaining slots to batch tickets, but for those that online requests will need in a moment. Tickets
+// that can still be completed by their due time go first: in order of due time alone, an overload would make nearly all of
+// them slightly late.
 func (p *Pool) grantBatch(now time.Time) {
 	if len(p.online) > 0 || len(p.batch) == 0 {
 		return
 	}
-	if p.grantBatchWhere(now, false) {
-		p.grantBatchWhere(now, true)
+	budget := p.batchBudget(now)
+	if p.grantBatchWhere(now, false, &budget) {
+		p.grantBatchWhere(now, true, &budget)
+	}
+}
+
+// batchBudget returns how many of the free slots at endpoints that are not slow batch may take. It leaves those that
+// online requests are expected to need within reserveTime. A batch run that is cut so soon has cost a connection and the
+// reading of its prompt for nothing.
+func (p *Pool) batchBudget(now time.Time) int {
+	p.decay(now)
+	free := 0
+	for _, e := range p.byID {
+		if e.accepts(nil, now) && !p.slow(e, now) {
+			free += max(0, e.limit()-e.running)
+		}
 	}
+	return free - int(p.arrivals*reserveTime.Seconds()/arrivalWindow.Seconds())
 }
 
 // grantBatchWhere grants slots to the batch tickets that are late, or to those that are not, and reports whether free
-// slots may remain.
-func (p *Pool) grantBatchWhere(now time.Time, late bool) bool {
+// slots may remain. The budget is for endpoints that are not slow.
+func (p *Pool) grantBatchWhere(now time.Time, late bool, budget *int) bool {
 	kept := 0
 	for i := range p.batch {
 		t := &p.batch[i]
 		if t.late(now) == late && !p.mustWait(t) {
-			e := p.freeEndpoint(t, now)
+			e := p.freeEndpoint(t, now, *budget <= 0)
 			if e != nil {
+				if !p.slow(e, now) {
+					*budget--
+				}
 				p.grant(*t, e, now)
 				continue
 			}
@@ -131,14 +152,15 @@
 	})
 }
 
-// freeEndpoint returns the best endpoint with a free slot for the ticket, as defined by better, or nil if there is none.
-// Ties are broken round-robin.
-func (p *Pool) freeEndpoint(t *Ticket, now time.Time) *endpoint {
+// freeEndpoint returns the best endpoint with a free slot for the ticket, as defined by better, or nil if there is none. With
+// onlySlow it considers slow endpoints only. Ties are broken round-robin.
+func (p *Pool) freeEndpoint(t *Ticket, now time.Time, onlySlow bool) *endpoint {
 	var best *endpoint
+	avoid := p.avoided(t, now)
 	p.roundRobin++
 	for i := range p.byID {
 		e := p.byID[(i+p.roundRobin)%len(p.byID)]
-		if !e.accepts(t, now) || e.running >= e.limit() {
+		if !e.accepts(avoid, now) || e.running >= e.limit() || onlySlow && !p.slow(e, now) {
 			continue
 		}
 		if best == nil || p.better(t, e, best, now) {
@@ -148,6 +170,20 @@
 	return best
 }
 
+// avoided returns the endpoints that the ticket avoids at present. A failure may be no fault of the endpoint, so a ticket goes
+// back to where its request failed if there is no other sound endpoint, or if none had a slot for it within avoidTime.
+func (p *Pool) avoided(t *Ticket, now time.Time) []inventory.ID {
+	if len(t.Avoid) == 0 || now.Sub(t.queued) >= avoidTime {
+		return nil
+	}
+	for _, e := range p.byID {
+		if e.sound() && !slices.Contains(t.Avoid, e.ID) {
+			return t.Avoid
+		}
+	}
+	return nil
+}
+
 // better reports whether a should be preferred to b for the ticket. For online tickets slow endpoints come last, and before
 // them those that name a limit, so that some of their requests are left for the next wave. Batch tickets go to the
 // latter first, as their runs are long and so use few requests. Then the number of free slots decides, then whether the
@@ -170,9 +206,10 @@
 func (p *Pool) revoke(t *Ticket, now time.Time) *endpoint {
 	var victim *run
 	victimRank := 0
+	avoid := p.avoided(t, now)
 	for _, r := range p.batchRuns {
 		e := p.endpoints[r.endpoint]
-		if e == nil || !e.accepts(t, now) {
+		if e == nil || !e.accepts(avoid, now) {
 			continue
 		}
 		rank := p.revokeRank(e, now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -47,12 +47,14 @@
 	Start time.Time
 	// Expires is when the ticket is refused if no slot was granted.
 	Expires time.Time
-	// Avoid lists endpoints at which the request failed before.
+	// Avoid lists endpoints at which the request failed before. It is a preference: see Pool.avoided.
 	Avoid []inventory.ID
 	// Prompt lists the parts of the prompt that other requests may have as well.
 	Prompt []prompt.PartID
 	// Domain is the VM's failure domain; an endpoint there is preferred among equals.
 	Domain inventory.Domain
+	// queued is when this steward received the ticket.
+	queued time.Time
 }
 
 // key identifies a ticket. The id alone is not enough, as two VMs may send tickets for the same item when a job changes
@@ -143,6 +145,9 @@
 	slowTTL = 2 * time.Second
 	// arrivalWindow is the time constant of the arrival count: shorter than a load peak, longer than its noise.
 	arrivalWindow = 500 * time.Millisecond
+	// reserveTime is how long ahead batch leaves slots to the online requests that are expected: about as long as a batch run
+	// takes to its first token.
+	reserveTime = 20 * time.Millisecond
 	// minLateShare is the minimum share of all slots that late requests are expected to get while requests that can
 	// still be on time go first.
 	minLateShare = 0.3
@@ -160,6 +165,8 @@
 	backoffBroken      = 100 * time.Millisecond
 	backoffFull        = 50 * time.Millisecond
 	backoffMax         = 2 * time.Second
+	// avoidTime is how long a waiting ticket avoids the endpoints at which its request failed.
+	avoidTime = 2 * time.Second
 )
 
 // Pool is the queue and the slots of one service. It is not safe for use by several goroutines.
@@ -273,6 +280,7 @@
 		p.decay(now)
 		p.arrivals++
 	}
+	t.queued = now
 	p.waiting[t.key()] = t.Class
 	if p.firstExpiry.IsZero() || t.Expires.Before(p.firstExpiry) {
 		p.firstExpiry = t.Expires
@@ -403,7 +411,7 @@
 func (p *Pool) Slots(now time.Time) int {
 	slots := 0
 	for _, e := range p.byID {
-		if e.accepts(&Ticket{}, now) {
+		if e.accepts(nil, now) {
 			slots += e.limit()
 		}
 	}
