vm: jobs are found in the store, whatever routes there are today

A call to end a job was answered 404 while its items ran, and a job sent again after its 202 got 404.

Cause: a call counted as one for a job only if the present configuration had a batch route for the host.

Ruled out: the store (all rows are there) and the view of the configuration (it is right that the route is gone).

Change: without a batch route, the store decides: 404 if it has no such job, 503 if it cannot be read. Submissions without a route are confirmed if their job exists. Concurrent lookups are bounded. The handlers of jobs move to a file of their own.

--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -33,6 +33,17 @@
 	return listing, nil
 }
 
+// Exists reports whether a job was accepted on the host, whatever has become of it since.
+func (mgr *Manager) Exists(ctx context.Context, id JobID, host string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	m, err := mgr.manifest(ctx, id)
+	if errors.Is(err, ErrNotFound) {
+		return false, nil
+	}
+	return err == nil && m.Host == host, err
+}
+
 // Body returns the body of an item, or ErrNotFound.
 func (mgr *Manager) Body(ctx context.Context, id JobID, item ItemID) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/vm/front.go
+++ b/internal/vm/front.go
@@ -2,13 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,21 +22,14 @@
 	maxBody = 8 << 20
 	// initialBodyBytes is the maximum size of the buffer that is allocated before any part of a body arrives.
 	initialBodyBytes = 64 << 10
-	// maxListingBytes bounds the output of the results in one response, below the 1 MB that callers accept.
-	maxListingBytes = 900_000
 	// unavailableRetry is the retry delay for callers that are refused with status 503, such as while the store is
 	// unavailable.
 	unavailableRetry = 400 * time.Millisecond
-	// fullRetry is the retry delay for batch jobs that exceed the token cap: long enough for some items of
-	// other jobs to complete.
-	fullRetry = time.Second
 	// shortBodyTime is how long a refusal waits for the rest of the body, so that the connection can stay open.
 	shortBodyTime = 20 * time.Millisecond
 	// refusedBodyTime and maxRefusedBody bound how long and how much the rest of a refused body is read afterwards.
 	refusedBodyTime = 500 * time.Millisecond
 	maxRefusedBody  = maxBody
-	// listingPoll is the time between reads of the store while a caller waits for a result.
-	listingPoll = 300 * time.Millisecond
 )
 
 // front is the HTTP handler for callers' requests.
@@ -50,7 +41,9 @@
 	draining     atomic.Bool
 	// active counts the requests that have not been answered yet.
 	active atomic.Int64
-	log    *slog.Logger
+	// jobLookups holds a token for each lookup of a job whose route is unknown.
+	jobLookups chan struct{}
+	log        *slog.Logger
 }
 
 // ServeHTTP answers a request according to its route.
@@ -69,11 +62,10 @@
 		f.refuseUnread(w, r, http.StatusServiceUnavailable, "no configuration yet")
 		return
 	}
-	if call, ok := platform.ParseJobCall(r); ok && hasBatchRoute(config, r.Host) {
-		f.serveJobCall(w, r, call)
+	rt := config.Match(r.Host, pathOf(r))
+	if f.serveKnownJob(w, r, config, rt) {
 		return
 	}
-	rt := config.Match(r.Host, pathOf(r))
 	if rt == nil {
 		f.refuseUnread(w, r, http.StatusNotFound, "no route")
 		return
@@ -101,16 +93,6 @@
 	return path
 }
 
-// hasBatchRoute reports whether a host has a route for batch jobs.
-func hasBatchRoute(config *route.Config, host string) bool {
-	for i := range config.Routes {
-		if config.Routes[i].Kind == route.KindBatch && config.Routes[i].Host == host {
-			return true
-		}
-	}
-	return false
-}
-
 // readBody reads a body within the limits, which also cover the headers. The status is zero on success and otherwise
 // that of the refusal.
 func readBody(r *http.Request, limits route.Limits) ([]byte, int) {
@@ -187,93 +169,6 @@
 	return errors.Is(err, io.EOF)
 }
 
-// accept decodes a batch job, passes it to the batch manager and answers with the status of the outcome.
-func (f *front) accept(w http.ResponseWriter, r *http.Request, rt *route.Route, body []byte) {
-	if r.Method != http.MethodPost {
-		// The logged reason "method" means that only POST is allowed.
-		f.refuse(w, r, http.StatusMethodNotAllowed, "method")
-		return
-	}
-	submission, err := platform.DecodeSubmission(r, body)
-	if err != nil {
-		f.log.Info("job cannot be decoded", "err", err)
-		f.refuse(w, r, http.StatusBadRequest, "job cannot be decoded")
-		return
-	}
-	err = f.batchManager.Accept(context.WithoutCancel(r.Context()), submission, rt)
-	switch {
-	case err == nil:
-		w.WriteHeader(http.StatusAccepted)
-	case errors.Is(err, batch.ErrFull):
-		f.headers.SetRetryAfter(w.Header(), fullRetry)
-		w.WriteHeader(http.StatusTooManyRequests)
-	case errors.Is(err, batch.ErrNotAccepted):
-		f.refuse(w, r, http.StatusServiceUnavailable, err.Error())
-	default:
-		f.refuse(w, r, http.StatusGatewayTimeout, err.Error())
-	}
-}
-
-func (f *front) serveJobCall(w http.ResponseWriter, r *http.Request, call platform.JobCall) {
-	switch call.Verb {
-	case platform.JobRead:
-		f.readJob(w, r, call)
-	case platform.JobBody:
-		body, err := f.batchManager.Body(r.Context(), call.ID, call.Item)
-		if err != nil {
-			f.refuseJobCall(w, r, err)
-			return
-		}
-		w.Header().Set("Content-Type", "application/octet-stream")
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		f.write(w, body)
-	case platform.JobEnd:
-		if err := f.batchManager.End(context.WithoutCancel(r.Context()), call.ID); err != nil {
-			f.refuseJobCall(w, r, err)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	}
-}
-
-// readJob answers with a job's results from a position on. If there is no such result yet, it waits up to call.Wait for
-// the first one.
-func (f *front) readJob(w http.ResponseWriter, r *http.Request, call platform.JobCall) {
-	deadline := time.Now().Add(call.Wait)
-	for {
-		listing, err := f.batchManager.Results(r.Context(), call.ID, call.From, maxListingBytes)
-		if err != nil {
-			f.refuseJobCall(w, r, err)
-			return
-		}
-		if len(listing.Results) == 0 && call.From < listing.Total && time.Until(deadline) > listingPoll {
-			select {
-			case <-r.Context().Done():
-				return
-			case <-time.After(listingPoll):
-				continue
-			}
-		}
-		body, err := platform.EncodeListing(listing, call.From)
-		if err != nil {
-			f.refuseJobCall(w, r, err)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		f.write(w, body)
-		return
-	}
-}
-
-func (f *front) refuseJobCall(w http.ResponseWriter, r *http.Request, err error) {
-	status := http.StatusServiceUnavailable
-	if errors.Is(err, batch.ErrNotFound) {
-		status = http.StatusNotFound
-	}
-	f.refuse(w, r, status, err.Error())
-}
-
 func (f *front) write(w http.ResponseWriter, body []byte) {
 	if _, err := w.Write(body); err != nil {
 		// The response could not be written, usually because the caller has closed the connection.
--- /dev/null
+++ b/internal/vm/job.go
@@ -0,0 +1,193 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rhubarbrudder/internal/batch"
+	"rhubarbrudder/internal/route"
+	"rhubarbrudder/platform"
+)
+
+const (
+	// maxListingBytes bounds the output of the results in one response, below the 1 MB that callers accept.
+	maxListingBytes = 900_000
+	// fullRetry is the retry delay for batch jobs that exceed the token cap: long enough for some items of
+	// other jobs to complete.
+	fullRetry = time.Second
+	// listingPoll is the time between reads of the store while a caller waits for a result.
+	listingPoll = 300 * time.Millisecond
+	// maxJobLookups bounds the concurrent reads of the store for requests without a batch route, which may be about a job
+	// that was accepted when there was one.
+	maxJobLookups = 16
+)
+
+// serveKnownJob serves a request that is about a batch job, and reports whether it did. A job outlives its route, which a
+// later configuration may remove or move to another host or path; rt is the route of the request in the present one, or nil.
+func (f *front) serveKnownJob(w http.ResponseWriter, r *http.Request, config *route.Config, rt *route.Route) bool {
+	call, isCall := platform.ParseJobCall(r)
+	switch {
+	case isCall && hasBatchRoute(config, r.Host):
+		f.serveJobCall(w, r, call)
+		return true
+	case isCall:
+		return f.serveUnroutedCall(w, r, call, rt)
+	case rt == nil && platform.MaySubmit(r):
+		return f.acceptAgain(w, r, config.Limits)
+	}
+	return false
+}
+
+// serveUnroutedCall serves a call for a job on a host without a batch route. If there is a route of another kind, it may be
+// an online request instead.
+func (f *front) serveUnroutedCall(w http.ResponseWriter, r *http.Request, call platform.JobCall, rt *route.Route) bool {
+	exists, err := f.lookUpJob(r, call.ID)
+	switch {
+	case err != nil:
+		f.refuseUnread(w, r, http.StatusServiceUnavailable, err.Error())
+		return true
+	case exists:
+		f.log.Info("job call without a batch route", "job", call.ID, "host", r.Host)
+		f.serveJobCall(w, r, call)
+		return true
+	case rt == nil:
+		f.refuseUnread(w, r, http.StatusNotFound, "no such job")
+		return true
+	}
+	return false
+}
+
+// acceptAgain confirms a job that was accepted when it still had a route, and reports whether it answered the request.
+func (f *front) acceptAgain(w http.ResponseWriter, r *http.Request, limits route.Limits) bool {
+	id := batch.JobID(f.headers.Meta(r).ID)
+	exists, err := f.lookUpJob(r, id)
+	if err != nil {
+		f.refuseUnread(w, r, http.StatusServiceUnavailable, err.Error())
+		return true
+	}
+	if !exists {
+		return false
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(headerTime))
+	if _, status := readBody(r, limits); status != 0 {
+		f.refuseUnread(w, r, status, "body")
+		return true
+	}
+	f.log.Info("job already exists", "job", id, "host", r.Host)
+	w.WriteHeader(http.StatusAccepted)
+	return true
+}
+
+// errLookups means that as many lookups of jobs are in progress as are allowed.
+var errLookups = errors.New("vm: too many lookups of jobs")
+
+// lookUpJob reports whether the job exists and was submitted to the host of the request.
+func (f *front) lookUpJob(r *http.Request, id batch.JobID) (bool, error) {
+	select {
+	case f.jobLookups <- struct{}{}:
+	default:
+		return false, errLookups
+	}
+	defer func() { <-f.jobLookups }()
+	return f.batchManager.Exists(r.Context(), id, r.Host)
+}
+
+// hasBatchRoute reports whether a host has a route for batch jobs.
+func hasBatchRoute(config *route.Config, host string) bool {
+	for i := range config.Routes {
+		if config.Routes[i].Kind == route.KindBatch && config.Routes[i].Host == host {
+			return true
+		}
+	}
+	return false
+}
+
+// accept decodes a batch job, passes it to the batch manager and answers with the status of the outcome.
+func (f *front) accept(w http.ResponseWriter, r *http.Request, rt *route.Route, body []byte) {
+	if r.Method != http.MethodPost {
+		// The logged reason "method" means that only POST is allowed.
+		f.refuse(w, r, http.StatusMethodNotAllowed, "method")
+		return
+	}
+	submission, err := platform.DecodeSubmission(r, body)
+	if err != nil {
+		f.log.Info("job cannot be decoded", "err", err)
+		f.refuse(w, r, http.StatusBadRequest, "job cannot be decoded")
+		return
+	}
+	err = f.batchManager.Accept(context.WithoutCancel(r.Context()), submission, rt)
+	switch {
+	case err == nil:
+		w.WriteHeader(http.StatusAccepted)
+	case errors.Is(err, batch.ErrFull):
+		f.headers.SetRetryAfter(w.Header(), fullRetry)
+		w.WriteHeader(http.StatusTooManyRequests)
+	case errors.Is(err, batch.ErrNotAccepted):
+		f.refuse(w, r, http.StatusServiceUnavailable, err.Error())
+	default:
+		f.refuse(w, r, http.StatusGatewayTimeout, err.Error())
+	}
+}
+
+func (f *front) serveJobCall(w http.ResponseWriter, r *http.Request, call platform.JobCall) {
+	switch call.Verb {
+	case platform.JobRead:
+		f.readJob(w, r, call)
+	case platform.JobBody:
+		body, err := f.batchManager.Body(r.Context(), call.ID, call.Item)
+		if err != nil {
+			f.refuseJobCall(w, r, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		f.write(w, body)
+	case platform.JobEnd:
+		if err := f.batchManager.End(context.WithoutCancel(r.Context()), call.ID); err != nil {
+			f.refuseJobCall(w, r, err)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// readJob answers with a job's results from a position on. If there is no such result yet, it waits up to call.Wait for
+// the first one.
+func (f *front) readJob(w http.ResponseWriter, r *http.Request, call platform.JobCall) {
+	deadline := time.Now().Add(call.Wait)
+	for {
+		listing, err := f.batchManager.Results(r.Context(), call.ID, call.From, maxListingBytes)
+		if err != nil {
+			f.refuseJobCall(w, r, err)
+			return
+		}
+		if len(listing.Results) == 0 && call.From < listing.Total && time.Until(deadline) > listingPoll {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(listingPoll):
+				continue
+			}
+		}
+		body, err := platform.EncodeListing(listing, call.From)
+		if err != nil {
+			f.refuseJobCall(w, r, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		f.write(w, body)
+		return
+	}
+}
+
+func (f *front) refuseJobCall(w http.ResponseWriter, r *http.Request, err error) {
+	status := http.StatusServiceUnavailable
+	if errors.Is(err, batch.ErrNotFound) {
+		status = http.StatusNotFound
+	}
+	f.refuse(w, r, status, err.Error())
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -208,6 +208,7 @@
 		view:         p.view,
 		forwarder:    forward.New(p.pools, p.inventory, sender, platform.Headers{}, p.metrics, log),
 		batchManager: p.batchManager,
+		jobLookups:   make(chan struct{}, maxJobLookups),
 		log:          log,
 	}
 }
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -205,6 +205,11 @@
 
 // configure writes a configuration with the next version and the extra routes.
 func (c *cluster) configure(extraRoutes []map[string]any) {
+	c.replaceRoutes(append(routes(), extraRoutes...))
+}
+
+// replaceRoutes writes a configuration with the next version and no other routes than these.
+func (c *cluster) replaceRoutes(all []map[string]any) {
 	c.version += 3
 	limits := c.limits
 	if limits == nil {
@@ -212,7 +217,7 @@
 	}
 	c.store.put("op", "config", map[string]any{
 		"version":  c.version,
-		"routes":   append(routes(), extraRoutes...),
+		"routes":   all,
 		"services": []map[string]any{{"name": "llm", "healthPath": "/healthz", "maxConnections": 100}},
 		"limits":   limits,
 	})
