route: a new configuration ends waits for a slot that no longer fit it

Online requests that waited were held until their patience was over.

Cause: the service is picked before the wait for a slot, which ends only with a slot or at the deadline.

Ruled out: the spread of the configuration (applied at all VMs within 0.1 s) and the new service's pool (nearly empty).

Change: View.Watch ends a wait when a configuration is applied that leads the item to another service, ranks it differently or drops its route. The item queues anew; a slot granted in that moment is returned. Online requests move as long as they cannot have run.

--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -150,7 +150,7 @@
 		case errors.Is(err, errUnprocessable), progress.Failures >= max(1, rt.Attempts):
 			j.finishItem(item, progress, StateDead, err.Error())
 			return
-		case errors.Is(err, errRevoked), ctx.Err() != nil:
+		case errors.Is(err, errRevoked), errors.Is(err, route.ErrMoved), ctx.Err() != nil:
 			continue
 		case isWithheld(err):
 			if !withheld {
@@ -242,7 +242,7 @@
 // endpoint rejected the item permanently. It returns the slot's endpoint, or none if there was no slot.
 func (j *job) attempt(ctx context.Context, item *Item, rt *route.Route, progress *Progress, avoid *[]inventory.ID, n int) (inventory.ID, error) {
 	service := rt.Pick(string(item.ID))
-	slot, err := j.manager.clients.Acquire(ctx, service, pool.SlotRequest{
+	slot, err := j.acquire(ctx, item, rt, pool.SlotRequest{
 		ID:      pool.TicketID(string(j.id) + "/" + string(item.ID) + "." + strconv.Itoa(n)),
 		Class:   pool.ClassBatch,
 		Rank:    rt.Rank,
@@ -279,6 +279,26 @@
 	return slot.Endpoint.ID, err
 }
 
+// acquire waits for a slot at the service to which the route leads. The wait ends with route.ErrMoved if a new configuration
+// leads the item elsewhere or ranks it differently.
+func (j *job) acquire(ctx context.Context, item *Item, rt *route.Route, request pool.SlotRequest) (*pool.Slot, error) {
+	service := rt.Pick(string(item.ID))
+	ctx, release := j.manager.view.Watch(ctx, func(config *route.Config) bool {
+		now := config.Match(j.manifest.Host, item.Path)
+		return now != nil && now.Pick(string(item.ID)) == service && now.Rank == rt.Rank
+	})
+	defer release()
+	slot, err := j.manager.clients.Acquire(ctx, service, request)
+	if !errors.Is(context.Cause(ctx), route.ErrMoved) {
+		return slot, err
+	}
+	j.manager.log.Info("item moved", "job", j.id, "item", item.ID, "from", service, "granted", slot != nil)
+	if slot != nil {
+		slot.Release(pool.TroubleUnknown)
+	}
+	return nil, route.ErrMoved
+}
+
 // answerTimes is when the headers of an answer and its first event arrived, or zero.
 type answerTimes struct {
 	headers time.Time
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -127,7 +127,7 @@
 	headers := plainHeaders{
 		budget: budget,
 	}
-	f := New(w, w, NewSender(headers), headers, w, log)
+	f := New(w, route.NewView(log), w, NewSender(headers), headers, w, log)
 	w.callers = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"rhubarbrudder/internal/inventory"
@@ -27,6 +28,14 @@
 	LeavingOrGone(id inventory.ID) bool
 }
 
+// Routes watches the configuration in force.
+type Routes interface {
+	// Watch returns a context that ends with route.ErrMoved as soon as the configuration in force does not fit, and a
+	// function that releases it.
+	Watch(ctx context.Context, fits func(*route.Config) bool) (context.Context, context.CancelFunc)
+	Current() *route.Config
+}
+
 // Recorder records finished requests in the metrics.
 type Recorder interface {
 	// Request records the outcome of a request, how long it waited for slots in all its attempts, and the time from its
@@ -39,6 +48,7 @@
 // Forwarder serves online requests.
 type Forwarder struct {
 	pools     Pools
+	routes    Routes
 	inventory Inventory
 	sender    *Sender
 	headers   Headers
@@ -71,9 +81,10 @@
 )
 
 // New returns a forwarder.
-func New(pools Pools, list Inventory, sender *Sender, headers Headers, recorder Recorder, log *slog.Logger) *Forwarder {
+func New(pools Pools, routes Routes, list Inventory, sender *Sender, headers Headers, recorder Recorder, log *slog.Logger) *Forwarder {
 	return &Forwarder{
 		pools:     pools,
+		routes:    routes,
 		inventory: list,
 		sender:    sender,
 		headers:   headers,
@@ -88,7 +99,7 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	route   *route.Route
-	// service is the one picked by the route's shares; it stays the same in all attempts.
+	// service is the one picked by the route's shares; it stays the same once the request may have run.
 	service route.Service
 	// meta.After is the id of the last event sent to the caller once the answer has begun.
 	meta    Meta
@@ -162,8 +173,11 @@
 func (s *serving) run(ctx context.Context) error {
 	for {
 		asked := time.Now()
-		slot, err := s.pools.Acquire(ctx, s.service, s.slotRequest())
+		slot, err := s.acquire(ctx)
 		s.waited += time.Since(asked)
+		if errors.Is(err, route.ErrMoved) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -183,6 +197,41 @@
 	}
 }
 
+// acquire waits for a slot at the request's service. While the request cannot have run, it follows its route to another
+// service: the wait then ends with route.ErrMoved.
+func (s *serving) acquire(ctx context.Context) (*pool.Slot, error) {
+	if s.possibleRuns > 0 {
+		return s.pools.Acquire(ctx, s.service, s.slotRequest())
+	}
+	ctx, release := s.routes.Watch(ctx, func(config *route.Config) bool {
+		return s.movedTo(config) == nil
+	})
+	defer release()
+	slot, err := s.pools.Acquire(ctx, s.service, s.slotRequest())
+	if err == nil || !errors.Is(context.Cause(ctx), route.ErrMoved) {
+		return slot, err
+	}
+	rt := s.movedTo(s.routes.Current())
+	if rt == nil {
+		return nil, route.ErrMoved
+	}
+	s.log.Info("request moved", "id", s.meta.ID, "route", rt.Name, "from", s.service, "to", rt.Pick(string(s.meta.ID)))
+	s.route = rt
+	s.service = rt.Pick(string(s.meta.ID))
+	return nil, route.ErrMoved
+}
+
+// movedTo returns the route of the configuration by which the request goes to another service than at present, or nil. A
+// request whose route is gone keeps its service.
+func (s *serving) movedTo(config *route.Config) *route.Route {
+	path, _, _ := strings.Cut(s.call.Target, "?")
+	rt := config.Match(s.call.Host, path)
+	if rt == nil || rt.Kind != s.route.Kind || rt.Pick(string(s.meta.ID)) == s.service {
+		return nil
+	}
+	return rt
+}
+
 // mayRetry reports whether the request may be sent again after the error.
 func (s *serving) mayRetry(err error) bool {
 	if s.attempts >= maxAttempts || errors.Is(err, errCut) {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"context"
 	"log/slog"
 	"strconv"
 	"testing"
@@ -66,3 +67,38 @@
 	assert.Assert(t, v.Apply(&Config{Version: 9}))
 	assert.Equal(t, v.Current().Version, Version(9))
 }
+
+// TestWatch checks that a wait ends when a configuration in force does not fit, also one that was applied just before.
+func TestWatch(t *testing.T) {
+	fits := func(c *Config) bool {
+		return c.Version != 5
+	}
+	tests := map[string]struct {
+		before []Version
+		after  []Version
+		want   error
+	}{
+		"no configuration":         {},
+		"one that fits":            {before: []Version{1}, after: []Version{2, 9}},
+		"one that does not":        {before: []Version{1}, after: []Version{5}, want: ErrMoved},
+		"applied before":           {before: []Version{1, 5}, want: ErrMoved},
+		"replaced before":          {before: []Version{5, 6}},
+		"replaced after":           {before: []Version{1}, after: []Version{5, 6}, want: ErrMoved},
+		"an older one comes later": {before: []Version{6}, after: []Version{5}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := NewView(slog.New(slog.DiscardHandler))
+			for _, version := range test.before {
+				v.Apply(&Config{Version: version})
+			}
+			ctx, release := v.Watch(context.Background(), fits)
+			for _, version := range test.after {
+				v.Apply(&Config{Version: version})
+			}
+			assert.Equal(t, context.Cause(ctx), test.want)
+			release()
+			assert.Equal(t, len(v.watches), 0)
+		})
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -206,7 +206,7 @@
 	p.batchSupervisor = batch.NewSupervisor(p.batchManager, p.roster, caller, p.pools.IsSteward, time.Duration(p.settings.Batch.Keep), log)
 	p.front = &front{
 		view:         p.view,
-		forwarder:    forward.New(p.pools, p.inventory, sender, platform.Headers{}, p.metrics, log),
+		forwarder:    forward.New(p.pools, p.view, p.inventory, sender, platform.Headers{}, p.metrics, log),
 		batchManager: p.batchManager,
 		jobLookups:   make(chan struct{}, maxJobLookups),
 		log:          log,
