batch: an adoption whose answer is lost is resolved by the adopting VM

Callers saw: a job whose owner had ended was not run for as long as the store lost the answers to adoptions (up to 30 s in a test).

Cause: the write that makes a VM the owner was made once; with its outcome unknown the VM did not start the job, although the claim named it. The supervisor reassigned the job 1.4 s later, with the same odds.

Evidence: nine adoptions in a row ended with "outcome unknown" in the log of a failing run of TestFailuresOutliveTheirOwner, at rising revisions.

Change: the write is retried as other writes are; after a conflict the claim is read, and a VM that finds itself in it starts the job.

Measured: TestAdoptionWithUnknownOutcome failed in 5 of 5 cases before and passes.

--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"rhubarbrudder/internal/store"
 )
@@ -45,11 +46,7 @@
 	c.Owner = string(mgr.self.Name)
 	c.Incarnation = string(mgr.self.Incarnation)
 	c.Number++
-	revision, err = mgr.ledger.write(ctx, args.Job, revision, c, nil)
-	if errors.Is(err, store.ErrConflict) {
-		return errNotOwner
-	}
-	if err != nil {
+	if revision, err = mgr.takeOver(ctx, args.Job, revision, c); err != nil {
 		return err
 	}
 	// The key claim is the claim's number.
@@ -60,6 +57,41 @@
 	return nil
 }
 
+// takeOver writes a claim by which this VM owns the job, and returns the claim's revision. It retries until the outcome is
+// known or ctx ends: no VM runs a job whose claim names this one until it is started here.
+func (mgr *Manager) takeOver(ctx context.Context, id JobID, revision store.Revision, next claim) (store.Revision, error) {
+	timeout := initialTimeout
+	for {
+		written, err := mgr.tryTakeOver(ctx, timeout, id, revision, next)
+		if err == nil || errors.Is(err, errNotOwner) {
+			return written, err
+		}
+		mgr.log.Warn("attempt to adopt job failed", "job", id, "timeout_ms", timeout.Milliseconds(), "err", err)
+		timeout = min(2*timeout, maxTimeout)
+		if !sleep(ctx, retryPause) {
+			return 0, err
+		}
+	}
+}
+
+// tryTakeOver makes one attempt to write the claim. If the claim has changed, an earlier attempt may have done that.
+func (mgr *Manager) tryTakeOver(ctx context.Context, timeout time.Duration, id JobID, revision store.Revision, next claim) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	written, err := mgr.ledger.write(ctx, id, revision, next, nil)
+	if !errors.Is(err, store.ErrConflict) {
+		return written, err
+	}
+	c, current, err := mgr.ledger.claim(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	if c.Owner != next.Owner || c.Incarnation != next.Incarnation || c.Number != next.Number {
+		return 0, errNotOwner
+	}
+	return current, nil
+}
+
 // Retire stops the work on all jobs and returns what other VMs need to continue them.
 func (mgr *Manager) Retire() []AdoptArgs {
 	mgr.mu.Lock()
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -217,6 +217,39 @@
 	assert.Equal(t, len(results), 0)
 }
 
+// TestAdoptionWithUnknownOutcome guards against VMs that own a job according to the store and do not run it.
+func TestAdoptionWithUnknownOutcome(t *testing.T) {
+	tests := map[string][]error{
+		"answer lost":              {store.ErrUnknown},
+		"answers lost":             {store.ErrUnknown, store.ErrUnknown},
+		"late":                     {errLate},
+		"rejected":                 {store.ErrUnavailable, store.ErrUnavailable},
+		"rejected, then no answer": {store.ErrUnavailable, store.ErrUnknown},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryStore()
+			a := newManager(t, m, "a")
+			b := newManager(t, m, "b")
+			assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			m.mu.Lock()
+			m.faults = faults
+			m.mu.Unlock()
+			assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+			m.applyLate()
+			j := owned(t, b, "j")
+			j.results <- Result{
+				Item:  "j-0",
+				State: StateSucceeded,
+			}
+			time.Sleep(50 * time.Millisecond)
+			results, err := b.ledger.results(context.Background(), "j", 0, true)
+			assert.NilError(t, err)
+			assert.Equal(t, len(results), 1)
+		})
+	}
+}
+
 // TestOrphans checks after how many scans a job whose owner does not confirm it counts as an orphan.
 func TestOrphans(t *testing.T) {
 	job := OpenJob{
