batch: failures of an item outlive the owner that counted them

Cause: the count was in the run loop of the owner only. A VM that stops did not hand it over, a VM that is killed cannot.

Ruled out: retries within one owner. The log has failures=1 after each adoption, and never more than 3 at one owner.

Change: the claim holds the failures and crashes of the items without a result. An item that failed runs again only once the store has the failure. A VM that stops also hands over results that are not committed.

--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -46,6 +46,7 @@
 	c.Owner = string(mgr.self.Name)
 	c.Incarnation = string(mgr.self.Incarnation)
 	c.Number++
+	c.Attempts = mergeAttempts(c, args.Progress)
 	if revision, err = mgr.takeOver(ctx, args.Job, revision, c); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/batch/attempts_test.go
@@ -0,0 +1,85 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/store"
+)
+
+// TestItemWaitsUntilItsFailureIsStored checks that an item does not go on before the store has its failure, whatever the store
+// does, and that the next owner knows of the failure.
+func TestItemWaitsUntilItsFailureIsStored(t *testing.T) {
+	tests := map[string][]error{
+		"at once":     nil,
+		"answer lost": {store.ErrUnknown},
+		"late":        {errLate},
+		"rejected":    {store.ErrUnavailable, store.ErrUnavailable},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryStore()
+			a := newManager(t, m, "a")
+			assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			j := owned(t, a, "j")
+			m.mu.Lock()
+			m.faults = faults
+			m.mu.Unlock()
+			j.recordFailure(context.Background(), &Progress{
+				Item:     "j-0",
+				Failures: 2,
+			})
+			c, _, err := a.ledger.claim(context.Background(), "j")
+			assert.NilError(t, err)
+			assert.Equal(t, c.Attempts["j-0"].Failures, 2)
+			m.applyLate()
+			b := newManager(t, m, "b")
+			assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+			assert.Equal(t, owned(t, b, "j").progressOf("j-0").Failures, 2)
+			assert.Equal(t, owned(t, b, "j").progressOf("j-1").Failures, 0)
+		})
+	}
+}
+
+// TestUncommittedResultIsHandedOver guards against items that run again at the next owner because their result was not
+// committed yet.
+func TestUncommittedResultIsHandedOver(t *testing.T) {
+	tests := map[string]Progress{
+		"succeeded":           {Item: "j-0", Output: []byte("output"), Events: 1, State: StateSucceeded},
+		"failed too often":    {Item: "j-0", Failures: 3, State: StateDead},
+		"cannot be processed": {Item: "j-0", State: StateDead},
+	}
+	for name, progress := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryStore()
+			a := newManager(t, m, "a")
+			assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			m.mu.Lock()
+			for range 100 {
+				m.faults = append(m.faults, store.ErrUnavailable)
+			}
+			m.mu.Unlock()
+			owned(t, a, "j").finishItem(&Item{ID: "j-0"}, progress, progress.State, "")
+			handovers := a.Retire()
+			m.mu.Lock()
+			m.faults = nil
+			m.mu.Unlock()
+			assert.Equal(t, len(handovers), 1)
+			b := newManager(t, m, "b")
+			assert.NilError(t, b.Adopt(context.Background(), handovers[0]))
+			time.Sleep(50 * time.Millisecond)
+			results, err := b.ledger.results(context.Background(), "j", 0, true)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, results, []Result{
+				{
+					Item:   "j-0",
+					State:  progress.State,
+					Output: string(progress.Output),
+				},
+			})
+		})
+	}
+}
--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"rhubarbrudder/internal/store"
@@ -19,6 +20,11 @@
 			return
 		case r := <-j.results:
 			pending = append(pending, r)
+		case <-j.attemptsChanged:
+			if err := j.commitAttempts(ctx); err != nil {
+				j.cancel(err)
+				return
+			}
 		}
 		pending = j.takeAvailable(pending)
 		for len(pending) > 0 {
@@ -53,16 +59,35 @@
 	if err != nil {
 		return 0, err
 	}
+	results := pending[:n]
+	err = j.persist(ctx, puts, func(next claim) claim {
+		next.Results = done + n
+		next.Tokens -= j.tokens(results)
+		next.Attempts = maps.Clone(next.Attempts)
+		for _, r := range results {
+			delete(next.Attempts, r.Item)
+		}
+		return next
+	})
+	if err != nil {
+		return 0, err
+	}
+	j.dropPartial(results)
+	return n, nil
+}
+
+// persist writes rows and the claim as changed by update. It retries until it succeeds or this VM no longer owns the job.
+func (j *job) persist(ctx context.Context, puts []store.Put, update func(claim) claim) error {
 	timeout := initialTimeout
 	for {
-		err := j.tryCommit(ctx, timeout, puts, pending[:n], done)
+		err := j.tryPersist(ctx, timeout, puts, update)
 		if err == nil {
-			return n, nil
+			return nil
 		}
 		if errors.Is(err, errNotOwner) || ctx.Err() != nil {
-			return 0, errNotOwner
+			return errNotOwner
 		}
-		j.manager.log.Warn("attempt to commit results failed", "job", j.id, "results", n, "timeout_ms", timeout.Milliseconds(), "err", err)
+		j.manager.log.Warn("attempt to write to job failed", "job", j.id, "rows", len(puts), "timeout_ms", timeout.Milliseconds(), "err", err)
 		timeout = min(2*timeout, maxTimeout)
 		sleep(ctx, retryPause)
 	}
@@ -86,17 +111,15 @@
 	return puts, len(pending), nil
 }
 
-// tryCommit makes one attempt to commit results. If an earlier attempt succeeded but its answer was lost, this one
-// conflicts, and reconcile finds the results by reading the claim again.
-func (j *job) tryCommit(ctx context.Context, timeout time.Duration, puts []store.Put, results []Result, done int) error {
+// tryPersist makes one attempt to write rows and the claim. If an earlier attempt succeeded but its answer was lost, this
+// one conflicts, and reconcile finds that out by reading the claim again.
+func (j *job) tryPersist(ctx context.Context, timeout time.Duration, puts []store.Put, update func(claim) claim) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	j.mu.Lock()
-	next := j.claim
+	next := update(j.claim)
 	revision := j.revision
 	j.mu.Unlock()
-	next.Results = done + len(results)
-	next.Tokens -= j.tokens(results)
 	var err error
 	if next.Results == len(j.items) {
 		err = j.manager.ledger.finish(ctx, j.id, revision, puts)
@@ -113,8 +136,8 @@
 	return nil
 }
 
-// reconcile reads the claim after a conflict: nil means that the results are already committed, errNotOwner that this
-// VM no longer owns the job.
+// reconcile reads the claim after a conflict: nil means that the claim is already written, errNotOwner that this VM no
+// longer owns the job.
 func (j *job) reconcile(ctx context.Context, next claim) error {
 	c, revision, err := j.manager.ledger.claim(ctx, j.id)
 	if err != nil {
@@ -137,7 +160,7 @@
 		return errNotOwner
 	}
 	j.setClaim(c, revision)
-	if c.Results == next.Results {
+	if c.Results == next.Results && maps.Equal(c.Attempts, next.Attempts) {
 		return nil
 	}
 	return store.ErrConflict
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -115,4 +115,13 @@
 	// Results is the number of committed results, Tokens the sum of the tokens of the items without one.
 	Results int
 	Tokens  int64
+	// Attempts holds the attempts of items without a result at which endpoints failed or crashed. It is in the store because
+	// their number is limited, whichever VMs run the job.
+	Attempts map[ItemID]attempts `json:",omitempty"`
+}
+
+// attempts counts what became of the attempts of an item, as in Progress.
+type attempts struct {
+	Failures int `json:",omitempty"`
+	Crashes  int `json:",omitempty"`
 }
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -182,10 +183,10 @@
 		abandon:  submitted.Add(m.Abandon),
 		cancel:   cancel,
 		results:  make(chan Result, len(items)),
-		partial:  map[ItemID]Progress{},
-	}
-	for _, p := range progress {
-		j.partial[p.Item] = p
+		partial:  adoptedProgress(c, progress),
+		attempts: maps.Clone(c.Attempts),
+
+		attemptsChanged: make(chan struct{}, 1),
 	}
 	mgr.owned[id] = j
 	mgr.running.Go(func() {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -54,6 +54,8 @@
 	Failures int
 	// Crashes counts the endpoints that crashed at the beginning of an answer, since the last event.
 	Crashes int
+	// State is the item's final state if it has one that is not committed yet.
+	State State
 }
 
 // job is a job that this VM runs.
@@ -74,8 +76,13 @@
 	claim    claim
 	revision store.Revision
 	checked  time.Time
-	// partial holds the progress of items that have some output, or at which endpoints crashed, and no result yet.
+	// partial holds the progress of items whose result is not committed, if they have some output, or a failure or crash.
 	partial map[ItemID]Progress
+	// attempts is what the claim should say about attempts, and recorded holds the items that wait until it does.
+	attempts map[ItemID]attempts
+	recorded []chan struct{}
+	// attemptsChanged holds a token while attempts has changed.
+	attemptsChanged chan struct{}
 }
 
 // errRevoked means that the steward, which grants the slots of a service, revoked the slot of a run.
@@ -117,6 +124,10 @@
 // runItem runs an item until it has a result.
 func (j *job) runItem(ctx context.Context, item *Item) {
 	progress := j.progressOf(item.ID)
+	if progress.State != "" {
+		j.finishItem(item, progress, progress.State, "ended at the previous owner")
+		return
+	}
 	var avoid []inventory.ID
 	var noRouteSince time.Time
 	// failedAttempts counts the attempts that failed, without those whose slot was revoked; n counts all
@@ -141,6 +152,10 @@
 			j.finishItem(item, progress, StateDead, "too old")
 			return
 		}
+		if progress.Failures >= max(1, rt.Attempts) {
+			j.finishItem(item, progress, StateDead, errFailed.Error())
+			return
+		}
 		endpoint, err := j.attempt(ctx, item, rt, &progress, &avoid, n)
 		switch {
 		case err == nil:
@@ -164,6 +179,9 @@
 		}
 		j.manager.log.Info("item attempt failed", "job", j.id, "item", item.ID, "endpoint", endpoint, "events", progress.Events, "failures", progress.Failures,
 			"prompt", j.prompt(item), "err", err)
+		if errors.Is(err, errFailed) {
+			j.recordFailure(ctx, &progress)
+		}
 		sleep(ctx, itemBackoff(failedAttempts, progress.Crashes))
 		failedAttempts++
 	}
@@ -199,9 +217,7 @@
 		Failures: progress.Failures,
 		Crashes:  progress.Crashes,
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	delete(j.partial, progress.Item)
+	j.savePartial(progress)
 }
 
 func (j *job) route(item *Item) *route.Route {
@@ -216,9 +232,8 @@
 // maximum number of output tokens.
 func (j *job) finishItem(item *Item, progress Progress, state State, reason string) {
 	j.manager.log.Info("item ended", "job", j.id, "item", item.ID, "state", state, "events", progress.Events, "tokens_at_most", item.OutputTokens, "length_hint", item.LengthHint, "failures", progress.Failures, "why", reason)
-	j.mu.Lock()
-	delete(j.partial, item.ID)
-	j.mu.Unlock()
+	progress.State = state
+	j.savePartial(&progress)
 	j.results <- Result{
 		Item:   item.ID,
 		State:  state,
@@ -268,6 +283,7 @@
 		if ending.Trouble == pool.TroubleCrashed {
 			progress.Crashes++
 			j.savePartial(progress)
+			j.noteAttempts(progress)
 		}
 	}
 	if err != nil && !errors.Is(err, errUnprocessable) {
@@ -364,6 +380,7 @@
 		return errUnprocessable
 	case http.StatusInternalServerError:
 		progress.Failures++
+		j.savePartial(progress)
 		return errFailed
 	}
 	// Any other status is handled like a broken connection: it does not count as a failure of the item.
--- a/test/platform/engine_test.go
+++ b/test/platform/engine_test.go
@@ -37,6 +37,8 @@
 	failing  bool
 	hanging  bool
 	slowdown int
+	// failTime is how long an answer with status 500 takes.
+	failTime time.Duration
 	// onRun is called at the start of each run, unless nil.
 	onRun func(engine, id string)
 	// onArrival is called for each request that arrives, with the parts of its prompt, unless nil.
@@ -97,7 +99,7 @@
 	e.lastArrival = time.Now()
 	refusing, unprocessable := e.refusing, e.unprocessable[id]
 	prompt := r.Header.Get("X-Prompt-Prefix")
-	name, failing, slots, limit := e.id, e.failing, e.slots, e.limit
+	name, failing, failTime, slots, limit := e.id, e.failing, e.failTime, e.slots, e.limit
 	e.mu.Unlock()
 	if limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
@@ -137,6 +139,11 @@
 		e.onRun(name, id)
 	}
 	if failing {
+		select {
+		case <-time.After(failTime):
+		case <-r.Context().Done():
+			return
+		}
 		if e.onFailure != nil {
 			e.onFailure(id)
 		}
