--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -91,6 +91,11 @@
 // put writes a row on behalf of the operator or an endpoint.
 func (s *storeStandin) put(table, key string, value any) {
 	data, _ := json.Marshal(value)
+	s.putBytes(table, key, data)
+}
+
+// putBytes writes a row.
+func (s *storeStandin) putBytes(table, key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.apply([]wireRow{{Table: table, Key: key, Value: data}}, nil)
