forward: an answer must show that it continues a stream

Error statuses never reached a stream that had begun. An answer with status 200 and an error's text or head was forwarded into it, and one that ended with its connection before any event counted as the end of the stream. An item of a batch job ended as succeeded in both cases, with the output that it had.

Cause: the end of a connection and events without a number were judged by what the caller had received in all, not by what this answer had shown.

Change: the first event of an answer that continues a stream must have a number, comments before it are dropped, and an end of its connection before it is no end of the stream. An item begins anew after the latter.

--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -174,7 +174,7 @@
 			}
 			sleep(ctx, min(withheldPause, time.Until(j.abandon)))
 			continue
-		case errors.Is(err, errTooMuchOutput):
+		case errors.Is(err, errTooMuchOutput), errors.Is(err, errNoContinuation):
 			j.resetProgress(&progress)
 		}
 		j.manager.log.Info("item attempt failed", "job", j.id, "item", item.ID, "endpoint", endpoint, "events", progress.Events, "failures", progress.Failures,
@@ -252,6 +252,10 @@
 // an endpoint that sends events without end causes the same.
 var errTooMuchOutput = errors.New("batch: item has too much output")
 
+// errNoContinuation means that an answer that was to continue an item's output may have ended before its first event. The
+// output so far may be all, which only a run from the beginning can tell.
+var errNoContinuation = errors.New("batch: item is not continued")
+
 // attempt acquires a slot and runs the item in it, resuming after the progress so far. The number n distinguishes the
 // item's tickets. If the attempt failed, the endpoint is added to avoid, unless the slot was revoked or the
 // endpoint rejected the item permanently. It returns the slot's endpoint, or none if there was no slot.
@@ -432,18 +436,18 @@
 // ErrBroken if one is missing.
 func (j *job) readEvents(watch *forward.Watchdog, response *http.Response, progress *Progress, answer *answerTimes) error {
 	events := forward.NewEventReader(response.Body)
+	before := progress.Events
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if progress.Events == 0 && forward.EndsWithConnection(response) {
-				// The endpoint may have crashed.
-				return forward.ErrBroken
-			}
-			return nil
+			return endOfAnswer(response, before, progress)
 		}
 		if err != nil {
 			return errors.Join(forward.ErrBroken, err)
 		}
+		if before > 0 && progress.Events == before && !event.Continues() {
+			return errors.Join(forward.ErrBroken, forward.ErrEvent)
+		}
 		// Events that are not numbered or already part of the progress do not count as signs of life.
 		if !event.HasID || event.ID <= progress.After && progress.Events > 0 {
 			continue
@@ -469,6 +473,18 @@
 	}
 }
 
+// endOfAnswer returns the outcome of an answer that began when the item had so many events. If it had none to add, and only
+// the end of its connection marks its end, the endpoint may have crashed.
+func endOfAnswer(response *http.Response, before int, progress *Progress) error {
+	if progress.Events > before || !forward.EndsWithConnection(response) {
+		return nil
+	}
+	if before > 0 {
+		return errors.Join(forward.ErrBroken, errNoContinuation)
+	}
+	return forward.ErrBroken
+}
+
 // savePartial keeps an item's progress for the next owner of the job.
 func (j *job) savePartial(progress *Progress) {
 	j.mu.Lock()
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -22,10 +22,18 @@
 	// ID is the number in the event's id field; HasID reports whether it has one.
 	ID    int64
 	HasID bool
+	// HasFields reports whether the event has any field, also one that is not known here.
+	HasFields bool
 	// Data holds the values of the event's data lines, joined by line feeds.
 	Data []byte
 }
 
+// Continues reports whether an event may be the first one of an answer that continues a stream: it is numbered, or only blank
+// lines and comments. The text of an error is neither.
+func (e Event) Continues() bool {
+	return e.HasID || !e.HasFields
+}
+
 // HasContent reports whether the event has an id or data. Blank lines and comments at the end of a stream have neither.
 func (e Event) HasContent() bool {
 	return e.HasID || e.Data != nil
@@ -66,6 +74,7 @@
 		switch {
 		case len(line) == 0 && fields > 0:
 			event.Raw = e.raw
+			event.HasFields = true
 			return event, nil
 		case len(line) == 0 || line[0] == ':':
 			continue
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -383,6 +383,8 @@
 // caller already has and returns ErrBroken if one is missing.
 func (s *serving) forwardStream(ctx context.Context, watchdog *Watchdog, response *http.Response) error {
 	events := NewEventReader(response.Body)
+	// continues means that the answer has yet to show that it continues the stream that the caller has received so far.
+	continues := s.started
 	nextTimeout := time.Until(s.deadline)
 	if s.route.Repeatable() && s.possibleRuns < s.route.Attempts {
 		nextTimeout = stallNext
@@ -390,13 +392,16 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return s.endStream(response)
+			return s.endStream(response, continues)
 		}
 		if err != nil {
 			return brokenError(ctx, err)
 		}
-		// An event that the caller already has is not progress.
-		if event.HasID && s.meta.After > 0 && event.ID <= s.meta.After {
+		if continues && !event.Continues() {
+			return errors.Join(ErrBroken, ErrEvent)
+		}
+		// An event that the caller already has is not progress, nor are comments before the one that continues the stream.
+		if event.HasID && s.meta.After > 0 && event.ID <= s.meta.After || continues && !event.HasID {
 			continue
 		}
 		watchdog.Feed(nextTimeout)
@@ -404,6 +409,7 @@
 		if event.HasID && s.started && event.ID != s.meta.After+1 {
 			return ErrBroken
 		}
+		continues = false
 		if err := s.writeEvent(response, event); err != nil {
 			return err
 		}
@@ -411,15 +417,15 @@
 }
 
 // endStream ends the answer at the end of an endpoint's stream. A stream that ends before its first event is broken off if
-// only the end of its connection marks its end, as nothing tells that from a crash.
-func (s *serving) endStream(response *http.Response) error {
-	if s.started {
-		return nil
-	}
-	if EndsWithConnection(response) {
+// only the end of its connection marks its end, as nothing tells that from a crash. The same holds if continues is set, that
+// is, if an answer ends before its first event that was to continue a stream.
+func (s *serving) endStream(response *http.Response, continues bool) error {
+	if (!s.started || continues) && EndsWithConnection(response) {
 		return ErrBroken
 	}
-	s.begin(response, unknownLength)
+	if !s.started {
+		s.begin(response, unknownLength)
+	}
 	return nil
 }
 
