soak: the answer to a crashing part counts only while engines crash at it

The check now holds for a part at which engines crash from before the request is sent until after its answer, as strictly as before.

--- a/test/platform/soak_fault_test.go
+++ b/test/platform/soak_fault_test.go
@@ -266,6 +266,7 @@
 func (s *soak) addCrashingPart(*rand.Rand, time.Duration) {
 	part := fmt.Sprintf("bad%d", s.ids.Add(1))
 	s.logEvent("engines crash at part %s", part)
+	s.crashingPart.Store("")
 	for _, e := range s.engines {
 		e.update(func(e *engineStandin) { e.crashingPart = part })
 	}
