inventory, pool: endpoints that say in an answer that they leave get no more work

Change: the adapter reads the header; each VM remembers it for the endpoint's lifetime and asks before each send, whatever the list, the store or a steward say. The steward learns of it with the VM's next update and the other VMs with their next reply. A service whose endpoints all leave refuses online requests at once. A grant that a VM returns because the endpoint leaves pauses the endpoint for a second instead of retiring it until the list changes, and lifetimes are compared instead of ids: an endpoint that had started again could be retired by a VM with an older list.

TestGrants expected that a ticket for a leaving endpoint gets no decision. It is now refused, as asked; the case checks that, and that a batch ticket still waits.

--- /dev/null
+++ b/internal/batch/send.go
@@ -0,0 +1,164 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"rhubarbrudder/internal/forward"
+	"rhubarbrudder/internal/pool"
+	"rhubarbrudder/internal/prompt"
+)
+
+// answerTimes is when the headers of an answer and its first event arrived, or zero.
+type answerTimes struct {
+	headers time.Time
+	content time.Time
+}
+
+// ending returns what the end of a run says about its endpoint and about the item's prompt.
+func (a answerTimes) ending(err error) pool.Ending {
+	ending := pool.Ending{
+		Trouble:  forward.Trouble(err),
+		Complete: err == nil,
+		Begun:    !a.headers.IsZero(),
+	}
+	if !a.content.IsZero() {
+		ending.Answered = time.Since(a.content)
+	}
+	return ending
+}
+
+// send sends the item to the slot's endpoint and reads the events of its answer, whose times it records in answer.
+func (j *job) send(ctx context.Context, slot *pool.Slot, item *Item, progress *Progress, answer *answerTimes) error {
+	if err := forward.CheckNotLeaving(j.manager.inventory, slot.Endpoint); err != nil {
+		return err
+	}
+	ctx, watch := forward.NewWatchdog(ctx, stallTimeout)
+	defer watch.Stop()
+	stop := context.AfterFunc(revokedContext(ctx, slot), func() {
+		watch.Cancel(errRevoked)
+	})
+	defer stop()
+	response, err := j.manager.sender.Open(ctx, slot.Endpoint, j.newCall(item), forward.SendParams{
+		After:    progress.After,
+		Resumes:  progress.Events > 0,
+		Answered: slot.ObserveLimit,
+		Leaves:   slot.ObserveLeaving,
+	})
+	if err != nil {
+		return withCause(ctx, err)
+	}
+	defer func() {
+		_ = response.Body.Close()
+	}()
+	answer.headers = time.Now()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return withCause(ctx, j.readEvents(watch, response, progress, answer))
+	case http.StatusUnprocessableEntity:
+		return errUnprocessable
+	case http.StatusInternalServerError:
+		progress.Failures++
+		j.savePartial(progress)
+		return errFailed
+	}
+	// Any other status is handled like a broken connection: it does not count as a failure of the item.
+	return forward.ErrBroken
+}
+
+// revokedContext returns a context that ends when the slot is revoked or ctx ends.
+func revokedContext(ctx context.Context, slot *pool.Slot) context.Context {
+	revoked, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-slot.Revoked():
+		case <-ctx.Done():
+		}
+	}()
+	return revoked
+}
+
+// withCause joins an error with the cause of the context's cancellation, if any.
+func withCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		return errors.Join(cause, err)
+	}
+	return err
+}
+
+// prompt returns the parts of the item's prompt.
+func (j *job) prompt(item *Item) prompt.Prompt {
+	return j.manager.sender.Prompt(j.newCall(item))
+}
+
+func (j *job) newCall(item *Item) forward.Call {
+	header := make(http.Header, len(item.Header))
+	for name, value := range item.Header {
+		header.Set(name, value)
+	}
+	return forward.Call{
+		ID:     forward.RequestID(item.ID),
+		Method: http.MethodPost,
+		Host:   j.manifest.Host,
+		Target: item.Path,
+		Header: header,
+		Body:   item.Body,
+	}
+}
+
+// readEvents appends the events of an answer to the progress. It skips events that are already part of it, and returns
+// ErrBroken if one is missing.
+func (j *job) readEvents(watch *forward.Watchdog, response *http.Response, progress *Progress, answer *answerTimes) error {
+	events := forward.NewEventReader(response.Body)
+	before := progress.Events
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return endOfAnswer(response, before, progress)
+		}
+		if err != nil {
+			return errors.Join(forward.ErrBroken, err)
+		}
+		if before > 0 && progress.Events == before && !event.Continues() {
+			return errors.Join(forward.ErrBroken, forward.ErrEvent)
+		}
+		// Events that are not numbered or already part of the progress do not count as signs of life.
+		if !event.HasID || event.ID <= progress.After && progress.Events > 0 {
+			continue
+		}
+		watch.Feed(stallTimeout)
+		if answer.content.IsZero() {
+			answer.content = time.Now()
+		}
+		if progress.Events > 0 && event.ID != progress.After+1 {
+			return forward.ErrBroken
+		}
+		if len(progress.Output)+1+len(event.Data) > maxOutputBytes {
+			return errors.Join(forward.ErrBroken, errTooMuchOutput)
+		}
+		if progress.Events > 0 {
+			progress.Output = append(progress.Output, '\n')
+		}
+		progress.Output = append(progress.Output, event.Data...)
+		progress.After = event.ID
+		progress.Events++
+		progress.Crashes = 0
+		j.savePartial(progress)
+	}
+}
+
+// endOfAnswer returns the outcome of an answer that began when the item had so many events. If it had none to add, and only
+// the end of its connection marks its end, the endpoint may have crashed.
+func endOfAnswer(response *http.Response, before int, progress *Progress) error {
+	if progress.Events > before || !forward.EndsWithConnection(response) {
+		return nil
+	}
+	if before > 0 {
+		return errors.Join(forward.ErrBroken, errNoContinuation)
+	}
+	return forward.ErrBroken
+}
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -36,6 +36,8 @@
 const (
 	limitHeader  = "Limit"
 	notRunHeader = "Not-Run"
+	// leavingHeader marks the answers of an endpoint that leaves.
+	leavingHeader = "Leaving"
 )
 
 // plainHeaders is an implementation of Headers that only knows the headers above and the budget.
@@ -62,6 +64,10 @@
 	}
 }
 
+func (plainHeaders) Leaving(from http.Header) bool {
+	return from.Get(leavingHeader) != ""
+}
+
 func (plainHeaders) Outgoing(from http.Header, send SendParams) http.Header {
 	to := from.Clone()
 	if send.Resumes {
@@ -97,12 +103,14 @@
 
 const testVM = pool.VMName("vm")
 
-func (w *world) LeavingOrGone(inventory.ID) bool                          { return false }
+func (w *world) LeavingOrGone(inventory.Lifetime) bool                    { return false }
 func (w *world) Request(route.Kind, string, time.Duration, time.Duration) {}
 func (w *world) ObserveUptime(pool.VMName, time.Duration)                 {}
 func (w *world) Attempt(route.Kind, pool.Trouble)                         {}
 func (w *world) ForService(route.Service) []inventory.Endpoint            { return w.endpoints }
 func (w *world) Loaded() bool                                             { return true }
+func (w *world) SetLeaving(route.Service, inventory.Lifetime) bool        { return false }
+func (w *world) Leaving(route.Service) []inventory.Lifetime               { return nil }
 func (w *world) Call(context.Context, string, string, any, any) error     { return io.EOF }
 func (w *world) Ranked(route.Service) []pool.Member                       { return []pool.Member{{VM: testVM}} }
 func (w *world) Acquire(ctx context.Context, _ route.Service, r pool.SlotRequest) (*pool.Slot, error) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,11 +4,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"rhubarbrudder/internal/inventory"
@@ -24,8 +22,8 @@
 
 // Inventory is the part of the endpoint inventory that is used here.
 type Inventory interface {
-	// LeavingOrGone reports whether an endpoint takes no new work.
-	LeavingOrGone(id inventory.ID) bool
+	// LeavingOrGone reports whether an endpoint takes no new work in the lifetime.
+	LeavingOrGone(lifetime inventory.Lifetime) bool
 }
 
 // Routes watches the configuration in force.
@@ -197,41 +195,6 @@
 	}
 }
 
-// acquire waits for a slot at the request's service. While the request cannot have run, it follows its route to another
-// service: the wait then ends with route.ErrMoved.
-func (s *serving) acquire(ctx context.Context) (*pool.Slot, error) {
-	if s.possibleRuns > 0 {
-		return s.pools.Acquire(ctx, s.service, s.slotRequest())
-	}
-	ctx, release := s.routes.Watch(ctx, func(config *route.Config) bool {
-		return s.movedTo(config) == nil
-	})
-	defer release()
-	slot, err := s.pools.Acquire(ctx, s.service, s.slotRequest())
-	if err == nil || !errors.Is(context.Cause(ctx), route.ErrMoved) {
-		return slot, err
-	}
-	rt := s.movedTo(s.routes.Current())
-	if rt == nil {
-		return nil, route.ErrMoved
-	}
-	s.log.Info("request moved", "id", s.meta.ID, "route", rt.Name, "from", s.service, "to", rt.Pick(string(s.meta.ID)))
-	s.route = rt
-	s.service = rt.Pick(string(s.meta.ID))
-	return nil, route.ErrMoved
-}
-
-// movedTo returns the route of the configuration by which the request goes to another service than at present, or nil. A
-// request whose route is gone keeps its service.
-func (s *serving) movedTo(config *route.Config) *route.Route {
-	path, _, _ := strings.Cut(s.call.Target, "?")
-	rt := config.Match(s.call.Host, path)
-	if rt == nil || rt.Kind != s.route.Kind || rt.Pick(string(s.meta.ID)) == s.service {
-		return nil
-	}
-	return rt
-}
-
 // mayRetry reports whether the request may be sent again after the error.
 func (s *serving) mayRetry(err error) bool {
 	if s.attempts >= maxAttempts || errors.Is(err, errCut) {
@@ -259,24 +222,6 @@
 	return s.sender.CheckCrash(ctx, slot.Endpoint, err, ending)
 }
 
-func (s *serving) slotRequest() pool.SlotRequest {
-	patience := max(minPatience, patienceObjectives*s.route.Objective, patiencePauses*s.route.Pause)
-	expires := s.lastEvent.Add(patience - patienceMargin)
-	if s.deadline.Before(expires) {
-		expires = s.deadline
-	}
-	return pool.SlotRequest{
-		ID:      pool.TicketID(string(s.meta.ID) + "." + strconv.Itoa(s.attempts)),
-		Class:   pool.ClassOnline,
-		Rank:    s.route.Rank,
-		Begun:   s.started,
-		Start:   s.lastEvent.Add(s.route.Objective - firstEventAllowance),
-		Expires: expires,
-		Avoid:   s.avoid,
-		Prompt:  s.prompt.Shared(),
-	}
-}
-
 // errCaller means that the answer could not be written to the caller.
 var errCaller = errors.New("forward: caller gone")
 
@@ -297,6 +242,7 @@
 	send := SendParams{
 		Left:     time.Until(s.deadline),
 		Answered: slot.ObserveLimit,
+		Leaves:   slot.ObserveLeaving,
 	}
 	if s.started {
 		send.After = s.meta.After
@@ -336,24 +282,6 @@
 	return max(min(left, stallFirst), left/time.Duration(attemptsLeft))
 }
 
-// watchPace reports to the pool when a stream's first event arrives, or that it is overdue. New work thus avoids a
-// silent endpoint even while a request that may not be repeated still waits there. It is used for streams only, as the
-// duration of other answers says nothing about the endpoint's health. The returned function stops it.
-func (s *serving) watchPace(slot *pool.Slot) func() {
-	overdue := time.AfterFunc(stallFirst, func() {
-		slot.Observe(pool.TroubleSilent, 0)
-	})
-	sent := time.Now()
-	s.onFirstEvent = func() {
-		overdue.Stop()
-		slot.Observe(pool.TroubleNone, time.Since(sent))
-	}
-	return func() {
-		overdue.Stop()
-		s.onFirstEvent = nil
-	}
-}
-
 // trouble returns the failure of the endpoint that the end of an attempt indicates. Silence counts only for streams, as
 // the duration of other answers says nothing about the endpoint's health.
 func (s *serving) trouble(err error) pool.Trouble {
@@ -379,91 +307,6 @@
 	s.w.WriteHeader(response.StatusCode)
 }
 
-// forwardStream forwards events as they arrive. When the stream resumes at another endpoint, it skips events that the
-// caller already has and returns ErrBroken if one is missing.
-func (s *serving) forwardStream(ctx context.Context, watchdog *Watchdog, response *http.Response) error {
-	events := NewEventReader(response.Body)
-	// continues means that the answer has yet to show that it continues the stream that the caller has received so far.
-	continues := s.started
-	nextTimeout := time.Until(s.deadline)
-	if s.route.Repeatable() && s.possibleRuns < s.route.Attempts {
-		nextTimeout = stallNext
-	}
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			return s.endStream(response, continues)
-		}
-		if err != nil {
-			return brokenError(ctx, err)
-		}
-		if continues && !event.Continues() {
-			return errors.Join(ErrBroken, ErrEvent)
-		}
-		// An event that the caller already has is not progress, nor are comments before the one that continues the stream.
-		if event.HasID && s.meta.After > 0 && event.ID <= s.meta.After || continues && !event.HasID {
-			continue
-		}
-		watchdog.Feed(nextTimeout)
-		s.recordEvent()
-		if event.HasID && s.started && event.ID != s.meta.After+1 {
-			return ErrBroken
-		}
-		continues = false
-		if err := s.writeEvent(response, event); err != nil {
-			return err
-		}
-	}
-}
-
-// endStream ends the answer at the end of an endpoint's stream. A stream that ends before its first event is broken off if
-// only the end of its connection marks its end, as nothing tells that from a crash. The same holds if continues is set, that
-// is, if an answer ends before its first event that was to continue a stream.
-func (s *serving) endStream(response *http.Response, continues bool) error {
-	if (!s.started || continues) && EndsWithConnection(response) {
-		return ErrBroken
-	}
-	if !s.started {
-		s.begin(response, unknownLength)
-	}
-	return nil
-}
-
-// recordEvent records that the current attempt's first event has arrived, if it has not before.
-func (s *serving) recordEvent() {
-	if !s.contentBegan.IsZero() {
-		return
-	}
-	s.contentBegan = time.Now()
-	if s.onFirstEvent != nil {
-		s.onFirstEvent()
-		s.onFirstEvent = nil
-	}
-}
-
-// writeEvent sends an event to the caller. It does not begin an answer that may turn out to be broken off with blank lines
-// or comments.
-func (s *serving) writeEvent(response *http.Response, event Event) error {
-	if !s.started && !event.HasContent() && EndsWithConnection(response) {
-		return nil
-	}
-	if !s.started {
-		s.begin(response, unknownLength)
-	}
-	if _, err := s.w.Write(event.Raw); err != nil {
-		return errCaller
-	}
-	if err := s.control.Flush(); err != nil {
-		return errCaller
-	}
-	if event.HasID {
-		s.meta.After = event.ID
-	}
-	s.lastEvent = time.Now()
-	s.events++
-	return nil
-}
-
 // brokenError returns ErrBroken joined with the reason: why ctx was cancelled, or else err.
 func brokenError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -61,6 +61,8 @@
 	// Answered, unless nil, is called with what the endpoint's answer says about its limit. A rejection says nothing if it
 	// names none.
 	Answered func(limit pool.Limit)
+	// Leaves, unless nil, is called if the endpoint's answer says that the endpoint leaves.
+	Leaves func()
 }
 
 // Verdict classifies an endpoint's answer to a request.
@@ -86,6 +88,8 @@
 	Outgoing(from http.Header, send SendParams) http.Header
 	// Limit returns what an endpoint's answer says about the requests that the endpoint takes.
 	Limit(from http.Header) pool.Limit
+	// Leaving reports whether an endpoint's answer says that the endpoint leaves.
+	Leaving(from http.Header) bool
 	// Judge classifies the answer to the request with the id.
 	Judge(response *http.Response, id RequestID) Verdict
 	// Returned returns the headers of an endpoint's answer that are passed to the caller.
@@ -155,7 +159,7 @@
 
 // CheckNotLeaving returns ErrLeaving if the granted endpoint takes no new work, as far as this VM knows.
 func CheckNotLeaving(list Inventory, granted inventory.Endpoint) error {
-	if list.LeavingOrGone(granted.ID) {
+	if list.LeavingOrGone(granted.Lifetime()) {
 		return ErrLeaving
 	}
 	return nil
@@ -191,6 +195,10 @@
 	if send.Answered != nil && (verdict == VerdictAnswer || verdict == VerdictNotRun && limit.Named) {
 		send.Answered(limit)
 	}
+	// An answer to another request is from this endpoint, one from elsewhere is not.
+	if send.Leaves != nil && verdict != VerdictElsewhere && s.headers.Leaving(response.Header) {
+		send.Leaves()
+	}
 	switch verdict {
 	case VerdictAnswer:
 		return response, nil
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -67,13 +67,21 @@
 	known       map[ID]Endpoint
 	// lapsed holds the known endpoints whose entry is missing, with the time until which they are kept.
 	lapsed map[ID]time.Time
-	// gone holds the removed endpoints with the times of their removal.
-	gone   map[ID]time.Time
+	// gone holds the removed endpoints.
+	gone map[ID]removal
+	// left holds the lifetimes of endpoints that have said in an answer that they leave.
+	left   map[Lifetime]departure
 	loaded bool
 }
 
+// removal is when an endpoint was removed from the list, and which lifetime was listed last.
+type removal struct {
+	born int64
+	at   time.Time
+}
+
 // New returns an empty inventory. The function changed is called after each call of Replace, Put or
-// Remove and must not block.
+// Remove, and when an endpoint is found to leave. It must not block.
 func New(sinceOutage func() time.Duration, changed func(), log *slog.Logger) *Inventory {
 	return &Inventory{
 		log:         log,
@@ -81,7 +89,8 @@
 		changed:     changed,
 		known:       map[ID]Endpoint{},
 		lapsed:      map[ID]time.Time{},
-		gone:        map[ID]time.Time{},
+		gone:        map[ID]removal{},
+		left:        map[Lifetime]departure{},
 	}
 }
 
@@ -126,20 +135,24 @@
 	return i.loaded
 }
 
-// LeavingOrGone reports whether an endpoint is leaving or gone, as far as this VM knows. It returns false for unknown
-// endpoints.
-func (i *Inventory) LeavingOrGone(id ID) bool {
+// LeavingOrGone reports whether an endpoint has left, is leaving or is gone in the lifetime, as far as this VM knows. It returns
+// false for unknown endpoints, and for a lifetime that is later than what this VM knows.
+func (i *Inventory) LeavingOrGone(lifetime Lifetime) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.expire()
-	if e, known := i.known[id]; known {
-		return e.Leaving
+	if i.hasLeft(lifetime) {
+		return true
 	}
-	_, gone := i.gone[id]
-	return gone
+	if e, known := i.known[lifetime.ID]; known {
+		return e.Leaving && e.Born >= lifetime.Born
+	}
+	removed, gone := i.gone[lifetime.ID]
+	return gone && removed.born >= lifetime.Born
 }
 
-// ForService returns the endpoints of a service.
+// ForService returns the endpoints of a service. Those that have said that they leave are marked as leaving, whatever their
+// entry says.
 func (i *Inventory) ForService(service route.Service) []Endpoint {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -147,6 +160,7 @@
 	var endpoints []Endpoint
 	for _, e := range i.known {
 		if e.Service == service {
+			e.Leaving = e.Leaving || i.hasLeft(e.Lifetime())
 			endpoints = append(endpoints, e)
 		}
 	}
@@ -183,13 +197,16 @@
 
 func (i *Inventory) forget(id ID) {
 	now := time.Now()
-	for old, at := range i.gone {
-		if now.Sub(at) > goneRetention {
+	for old, removed := range i.gone {
+		if now.Sub(removed.at) > goneRetention {
 			delete(i.gone, old)
 		}
 	}
+	i.gone[id] = removal{
+		born: i.known[id].Born,
+		at:   now,
+	}
 	delete(i.known, id)
-	i.gone[id] = now
 }
 
 // expire removes lapsed endpoints that were not listed again within lapseHold.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -35,10 +35,10 @@
 		i.Replace([]Endpoint{testEndpoint("a", false), testEndpoint("b", false)})
 		i.Replace([]Endpoint{testEndpoint("b", false)})
 		assert.Equal(t, len(i.ForService("s")), 2)
-		assert.Assert(t, !i.LeavingOrGone("a"))
+		assert.Assert(t, !i.LeavingOrGone(Lifetime{ID: "a"}))
 		time.Sleep(1900 * time.Millisecond)
 		assert.Equal(t, len(i.ForService("s")), 1)
-		assert.Assert(t, i.LeavingOrGone("a"))
+		assert.Assert(t, i.LeavingOrGone(Lifetime{ID: "a"}))
 	})
 }
 
@@ -78,8 +78,84 @@
 			i := newInventory(&sinceOutage)
 			i.Put(testEndpoint("a", false))
 			test.change(i)
-			assert.Equal(t, i.LeavingOrGone("a"), test.want)
-			assert.Assert(t, !i.LeavingOrGone("never known"))
+			assert.Equal(t, i.LeavingOrGone(Lifetime{ID: "a"}), test.want)
+			assert.Assert(t, !i.LeavingOrGone(Lifetime{ID: "never known"}))
 		})
 	}
 }
+
+// TestLeavingLasts checks that an endpoint that has said that it leaves gets no work for the rest of its lifetime, whatever its
+// entry does, and that its next lifetime does.
+func TestLeavingLasts(t *testing.T) {
+	listed := func(born int64, leaving bool) Endpoint {
+		e := testEndpoint("a", leaving)
+		e.Born = born
+		return e
+	}
+	first, second := listed(1, false).Lifetime(), listed(2, false).Lifetime()
+	tests := map[string]struct {
+		change func(i *Inventory)
+		// leaves is what is known of the lifetime asked, usable whether the listed endpoint is given work.
+		asked  Lifetime
+		leaves bool
+		usable bool
+	}{
+		"entry unchanged":                  {change: func(*Inventory) {}, asked: first, leaves: true},
+		"entry renewed":                    {change: func(i *Inventory) { i.Put(listed(1, false)) }, asked: first, leaves: true},
+		"entry removed and renewed":        {change: func(i *Inventory) { i.Remove("a"); i.Put(listed(1, false)) }, asked: first, leaves: true},
+		"list read again":                  {change: func(i *Inventory) { i.Replace([]Endpoint{listed(1, false)}) }, asked: first, leaves: true},
+		"started again":                    {change: func(i *Inventory) { i.Put(listed(2, false)) }, asked: second, usable: true},
+		"started again, asked for the old": {change: func(i *Inventory) { i.Put(listed(2, false)) }, asked: first, leaves: true, usable: true},
+		"started again, old answer late": {
+			change: func(i *Inventory) {
+				i.Put(listed(2, false))
+				i.SetLeaving("s", first)
+			},
+			asked:  second,
+			usable: true,
+		},
+		"started again and leaves again": {
+			change: func(i *Inventory) {
+				i.Put(listed(2, false))
+				i.SetLeaving("s", second)
+			},
+			asked:  second,
+			leaves: true,
+		},
+		"a start that is not listed yet":      {change: func(*Inventory) {}, asked: second},
+		"a start after the removal":           {change: func(i *Inventory) { i.Remove("a") }, asked: second},
+		"a start that the old entry precedes": {change: func(i *Inventory) { i.Put(listed(1, true)) }, asked: second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			sinceOutage := time.Hour
+			i := newInventory(&sinceOutage)
+			i.Put(listed(1, false))
+			assert.Assert(t, i.SetLeaving("s", first))
+			assert.Assert(t, !i.SetLeaving("s", first))
+			test.change(i)
+			assert.Equal(t, i.LeavingOrGone(test.asked), test.leaves)
+			usable := false
+			for _, e := range i.ForService("s") {
+				usable = usable || !e.Leaving
+			}
+			assert.Equal(t, usable, test.usable)
+		})
+	}
+}
+
+// TestUndatedLeavingEnds checks that an endpoint without a start time is used again some time after it has said that it leaves.
+func TestUndatedLeavingEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sinceOutage := time.Hour
+		i := newInventory(&sinceOutage)
+		i.Put(testEndpoint("a", false))
+		i.SetLeaving("s", Lifetime{ID: "a"})
+		time.Sleep(undatedTTL - time.Second)
+		assert.Assert(t, i.LeavingOrGone(Lifetime{ID: "a"}))
+		assert.Equal(t, len(i.Leaving("s")), 1)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !i.LeavingOrGone(Lifetime{ID: "a"}))
+		assert.Equal(t, len(i.Leaving("s")), 0)
+	})
+}
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -122,6 +122,22 @@
 	})
 }
 
+// ObserveLeaving records that an answer in this slot says that the endpoint leaves. From now on no request is sent there from
+// this VM, and the steward is told.
+func (s *Slot) ObserveLeaving() {
+	s.client.observeLeaving(s.Endpoint.Lifetime())
+}
+
+func (c *Client) observeLeaving(lifetime inventory.Lifetime) {
+	if !c.local.inventory.SetLeaving(c.service, lifetime) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = append(c.leaving, lifetime)
+	c.wakeSender()
+}
+
 // pendingRequest is the state of a request from the call of Acquire until it is refused or withdrawn, or its slot is
 // released.
 type pendingRequest struct {
@@ -161,6 +177,8 @@
 	limits map[inventory.Lifetime]namedLimit
 	// limitChanges holds the endpoints whose limits go into the next update.
 	limitChanges []inventory.Lifetime
+	// leaving holds the endpoints that have said that they leave, for the next update.
+	leaving []inventory.Lifetime
 	// vms is how many VMs use the pool.
 	vms vmCount
 	// memory holds what the next steward is told about the parts of prompts.
--- a/internal/pool/client_test.go
+++ b/internal/pool/client_test.go
@@ -66,6 +66,10 @@
 
 func (f fixedInventory) ForService(route.Service) []inventory.Endpoint { return f.list }
 func (f fixedInventory) Loaded() bool                                  { return f.loaded }
+func (f fixedInventory) SetLeaving(route.Service, inventory.Lifetime) bool {
+	return false
+}
+func (f fixedInventory) Leaving(route.Service) []inventory.Lifetime { return nil }
 
 func newFleet(vms, slots int, ids ...inventory.ID) *fleet {
 	f := &fleet{
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -77,8 +77,8 @@
 		e.succeed()
 		return
 	case TroubleLeaving:
-		e.Leaving = true
-		return
+		// Only the list and the endpoint itself tell for how long it leaves. The VM may know an older list.
+		backoff = backoffLeaving
 	case TroubleUnreachable, TroubleSilent, TroubleCrashed:
 		backoff = backoffUnreachable
 		e.consecutiveFailures++
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -76,6 +76,8 @@
 	Withdrawn []TicketID
 	// Limits holds the limits in the answers of endpoints since the last update.
 	Limits []LimitReport
+	// Leaving holds the endpoints that have said since the last update that they leave, or at any time if Full is set.
+	Leaving []inventory.Lifetime
 	// VMs is how many VMs use the pool as far as the VM knows, if Full is set.
 	VMs VMCount
 	// Quarantine holds the listed parts that the VM knows, Remembered what it has lately observed of parts, if Full is set.
@@ -112,4 +114,6 @@
 	VMs VMCount
 	// Quarantine holds the listed parts that the steward knows, if they have changed.
 	Quarantine []quarantine.Entry
+	// Leaving holds endpoints that leave, as other VMs have heard.
+	Leaving []inventory.Lifetime
 }
--- a/internal/pool/message_bench_test.go
+++ b/internal/pool/message_bench_test.go
@@ -57,6 +57,10 @@
 
 func (p largePool) ForService(route.Service) []inventory.Endpoint { return p.endpoints }
 func (p largePool) Loaded() bool                                  { return len(p.endpoints) > 0 }
+func (p largePool) SetLeaving(route.Service, inventory.Lifetime) bool {
+	return false
+}
+func (p largePool) Leaving(route.Service) []inventory.Lifetime { return nil }
 
 // serveSteward serves a steward until standard input is closed, and then prints its processor time in microseconds and
 // the bytes that it sent and received.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,7 +5,6 @@
 package pool
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -165,6 +164,9 @@
 	backoffBroken      = 100 * time.Millisecond
 	backoffFull        = 50 * time.Millisecond
 	backoffMax         = 2 * time.Second
+	// backoffLeaving is how long an endpoint gets no new work after a VM has returned a slot there because the endpoint
+	// leaves. By then, this VM's list says the same, or that VM's list has the endpoint again.
+	backoffLeaving = time.Second
 	// avoidTime is how long a waiting ticket avoids the endpoints at which its request failed.
 	avoidTime = 2 * time.Second
 )
@@ -222,52 +224,6 @@
 	}
 }
 
-// SetEndpoints replaces the list of the service's endpoints. Endpoints that are no longer listed keep their runs but get
-// no new ones.
-func (p *Pool) SetEndpoints(list []inventory.Endpoint) {
-	listed := make(map[inventory.ID]bool, len(list))
-	for _, e := range list {
-		listed[e.ID] = true
-		known := p.endpoints[e.ID]
-		if known == nil {
-			known = &endpoint{
-				Endpoint:  e,
-				allowance: p.listAllowance(e.Lifetime()),
-			}
-			p.endpoints[e.ID] = known
-			for _, r := range p.runs {
-				if r.endpoint == e.ID && r.revoked.IsZero() {
-					known.running++
-				}
-			}
-		}
-		if known.Born != e.Born {
-			known.consecutiveFailures = 0
-			known.trialLimit = 0
-			known.backoffUntil = time.Time{}
-			known.firstEventLatency = 0
-			known.allowance = allowance{share: p.share}
-		}
-		known.Endpoint = e
-		known.gone = false
-	}
-	p.byID = p.byID[:0]
-	for id, e := range p.endpoints {
-		if !listed[id] {
-			e.gone = true
-		}
-		if e.gone && e.running <= 0 {
-			p.unlistAllowance(e)
-			delete(p.endpoints, id)
-			continue
-		}
-		p.byID = append(p.byID, e)
-	}
-	slices.SortFunc(p.byID, func(a, b *endpoint) int {
-		return cmp.Compare(a.ID, b.ID)
-	})
-}
-
 // Enqueue adds a ticket to the queue. A ticket that already waits or runs is left unchanged.
 func (p *Pool) Enqueue(t Ticket, now time.Time) {
 	if _, waits := p.waiting[t.key()]; waits || p.runs[t.key()] != nil {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -80,6 +80,7 @@
 		endpoints []inventory.Endpoint
 		tickets   []Ticket
 		want      map[TicketID]inventory.ID
+		refused   []TicketID
 	}{
 		"one slot goes to the ticket that must start first": {
 			endpoints: endpoints(1, "a"),
@@ -105,8 +106,9 @@
 					Leaving: true,
 				},
 			},
-			tickets: []Ticket{ticket("v", "one", ClassOnline, now, time.Second)},
+			tickets: []Ticket{ticket("v", "one", ClassOnline, now, time.Second), ticket("v", "item", ClassBatch, now, time.Second)},
 			want:    map[TicketID]inventory.ID{},
+			refused: []TicketID{"one"},
 		},
 		"an endpoint that failed before is avoided": {
 			endpoints: endpoints(8, "a", "b"),
@@ -135,11 +137,18 @@
 				p.Enqueue(each, now)
 			}
 			got := map[TicketID]inventory.ID{}
+			var refused []TicketID
 			for _, outcome := range p.Decide(now) {
+				if outcome.Kind == OutcomeRefuse {
+					assert.Assert(t, outcome.RetryAfter >= minRetryAfter)
+					refused = append(refused, outcome.Ticket)
+					continue
+				}
 				assert.Equal(t, outcome.Kind, OutcomeGrant)
 				got[outcome.Ticket] = outcome.Endpoint.ID
 			}
 			assert.DeepEqual(t, got, test.want)
+			assert.DeepEqual(t, refused, test.refused)
 		})
 	}
 }
@@ -289,3 +298,19 @@
 	assert.Assert(t, len(outcomes) > 0)
 	assert.Equal(t, outcomes[0].Ticket, TicketID("begun"))
 }
+
+// TestReturnedSlotDoesNotRetireItsEndpoint guards against endpoints that get no more work because a VM with an older list has
+// returned one slot as that of a leaving endpoint.
+func TestReturnedSlotDoesNotRetireItsEndpoint(t *testing.T) {
+	now := time.Now()
+	p := New()
+	p.SetEndpoints(endpoints(1, "a"))
+	p.Enqueue(ticket("v", "one", ClassOnline, now, time.Second), now)
+	assert.Equal(t, len(p.Decide(now)), 1)
+	p.Release("v", "one", TroubleLeaving, now)
+	p.Enqueue(ticket("v", "two", ClassOnline, now, 2*backoffLeaving), now)
+	assert.Equal(t, len(p.Decide(now)), 0)
+	outcomes := p.Decide(now.Add(backoffLeaving))
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Kind, OutcomeGrant)
+}
--- a/internal/pool/refuse.go
+++ b/internal/pool/refuse.go
@@ -26,6 +26,9 @@
 	// tickets.
 	rate := p.startRate()
 	if rate == 0 {
+		if p.allLeaving() {
+			p.refuseNotBegun()
+		}
 		return
 	}
 	p.decay(now)
@@ -68,6 +71,34 @@
 	p.online = slices.Delete(p.online, kept, len(p.online))
 }
 
+// allLeaving reports whether all listed endpoints leave. A service without any may just have lost its entries in the list.
+func (p *Pool) allLeaving() bool {
+	leaving := false
+	for _, e := range p.byID {
+		if !e.gone && !e.Leaving {
+			return false
+		}
+		leaving = leaving || !e.gone
+	}
+	return leaving
+}
+
+// refuseNotBegun refuses the online tickets that have not begun. Their callers are asked to wait for a time in which new
+// endpoints may start.
+func (p *Pool) refuseNotBegun() {
+	kept := p.online[:0]
+	for i := range p.online {
+		t := &p.online[i]
+		if t.Begun {
+			kept = append(kept, *t)
+			continue
+		}
+		p.refuse(t, maxRetryAfter)
+	}
+	clear(p.online[len(kept):])
+	p.online = kept
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -163,6 +163,8 @@
 	args.Remembered = c.memory.Report(now)
 	args.VMs = c.vms.message(now)
 	c.limitChanges = nil
+	c.leaving = nil
+	args.Leaving = c.local.inventory.Leaving(c.service)
 	args.Limits = c.limitReports(slices.Collect(maps.Keys(c.limits)), now)
 	for _, r := range c.requests {
 		if r.refused != nil {
@@ -199,6 +201,8 @@
 	}
 	args.Limits = c.limitReports(c.limitChanges, now)
 	c.limitChanges = nil
+	args.Leaving = c.leaving
+	c.leaving = nil
 	c.unsent = nil
 	c.observations = nil
 	c.returned = nil
@@ -211,6 +215,9 @@
 	if len(reply.Quarantine) > 0 {
 		c.quarantine.Learn(reply.Quarantine)
 	}
+	for _, lifetime := range reply.Leaving {
+		c.local.inventory.SetLeaving(c.service, lifetime)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.session != session {
--- a/internal/pool/steward.go
+++ b/internal/pool/steward.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"rhubarbrudder/internal/inventory"
-	"rhubarbrudder/internal/prompt"
 	"rhubarbrudder/internal/route"
 )
 
@@ -20,12 +19,18 @@
 	sessionTimeout = time.Second
 	// recheckPeriod is how often expired tickets are looked for while any ticket waits; refusals may be that late.
 	recheckPeriod = 50 * time.Millisecond
+	// maxAnnounced bounds the endpoints that are remembered as announced.
+	maxAnnounced = 1024
 )
 
 // Inventory is the part of the endpoint inventory that stewards use.
 type Inventory interface {
 	ForService(service route.Service) []inventory.Endpoint
 	Loaded() bool
+	// SetLeaving records that an endpoint takes no new work for the rest of the lifetime, and reports whether this was not
+	// known; Leaving returns what was recorded.
+	SetLeaving(service route.Service, lifetime inventory.Lifetime) bool
+	Leaving(service route.Service) []inventory.Lifetime
 }
 
 // Stewards holds the pools for which this VM is the steward, one per service. It is the net/rpc service of the package.
@@ -48,9 +53,12 @@
 	vms vmCount
 	// recheckScheduled means that recheck will run within recheckPeriod.
 	recheckScheduled bool
-	quarantine       Quarantine
-	log              *slog.Logger
-	service          route.Service
+	// announced holds the endpoints of which the VMs have been told that they leave.
+	announced  map[inventory.Lifetime]bool
+	inventory  Inventory
+	quarantine Quarantine
+	log        *slog.Logger
+	service    route.Service
 }
 
 // session is the steward's state for one VM.
@@ -64,6 +72,8 @@
 	outcomes []Outcome
 	// quarantineChanged means that the VM has not received the latest changes of the list of parts that crash endpoints.
 	quarantineChanged bool
+	// leaving holds the endpoints that leave which the VM has not been told of.
+	leaving []inventory.Lifetime
 	// ready holds a token while there is something to receive.
 	ready chan struct{}
 }
@@ -119,6 +129,10 @@
 	if err != nil {
 		return err
 	}
+	for _, lifetime := range args.Leaving {
+		s.inventory.SetLeaving(args.From.Service, lifetime)
+		st.announceLeaving(lifetime)
+	}
 	st.applyUpdate(args, reply)
 	reply.Retiring = retiring
 	return nil
@@ -167,6 +181,8 @@
 		st = &steward{
 			pool:       New(),
 			sessions:   map[VMName]*session{},
+			announced:  map[inventory.Lifetime]bool{},
+			inventory:  s.inventory,
 			quarantine: s.quarantine,
 			log:        s.log,
 			service:    service,
@@ -243,6 +259,7 @@
 		ready:  make(chan struct{}, 1),
 		// The VM may have missed earlier changes.
 		quarantineChanged: true,
+		leaving:           st.inventory.Leaving(st.service),
 	}
 	st.sessions[args.From.VM] = sess
 	st.log.Info("vm registered", "service", st.service, "vm", args.From.VM, "held", len(args.Held), "asks", len(args.Asks), "vms", len(st.sessions))
@@ -357,59 +374,6 @@
 	}
 }
 
-// takeNews adds to the reply what the VM has not received yet.
-func (st *steward) takeNews(sess *session, reply *Reply) {
-	reply.VMs = st.vms.message(time.Now())
-	reply.Outcomes = sess.outcomes
-	sess.outcomes = nil
-	if sess.quarantineChanged {
-		reply.Quarantine = st.quarantine.Entries()
-		sess.quarantineChanged = false
-	}
-}
-
-// judge lists the parts of prompts that have been found to crash endpoints, or takes them off the list.
-func (st *steward) judge(now time.Time) {
-	verdicts := st.pool.Verdicts(now)
-	if len(verdicts) == 0 {
-		return
-	}
-	for _, verdict := range verdicts {
-		if verdict.Sound {
-			st.quarantine.Acquit(st.service, verdict.Part)
-		} else {
-			st.quarantine.Withhold(st.service, verdict.Part)
-		}
-	}
-	st.readQuarantine(now)
-}
-
-// readQuarantine applies the list of parts that crash endpoints. Those of other services are on probation here.
-func (st *steward) readQuarantine(now time.Time) {
-	parts := map[prompt.PartID]time.Time{}
-	for _, listing := range st.quarantine.Listings() {
-		if listing.Service == st.service {
-			parts[listing.Part] = listing.Until
-		} else if _, listed := parts[listing.Part]; !listed {
-			parts[listing.Part] = time.Time{}
-		}
-	}
-	st.pool.SetQuarantine(parts, now)
-}
-
-// quarantineChanged applies the list of parts that crash endpoints and sends it to the VMs.
-func (st *steward) quarantineChanged() {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	now := time.Now()
-	st.readQuarantine(now)
-	for _, sess := range st.sessions {
-		sess.quarantineChanged = true
-		sess.wake()
-	}
-	st.decide(now, nil)
-}
-
 // ticket returns the ticket with times of this VM's clock.
 func (a WireTicket) ticket(args UpdateArgs, now time.Time) Ticket {
 	return Ticket{
--- a/test/platform/engine_test.go
+++ b/test/platform/engine_test.go
@@ -17,6 +17,8 @@
 	events   int
 	interval time.Duration
 	slots    chan struct{}
+	// born is the engine's start in Unix milliseconds, or zero if its entry in the list has none.
+	born int64
 
 	mu sync.Mutex
 	// arrivals and runs count received and executed requests by request ID; lastArrival is the time of the latest one.
@@ -47,6 +49,10 @@
 	// onCrash, with its ID. An empty part is none.
 	crashingPart string
 	onCrash      func(engine string)
+	// leaving makes the engine say in all answers that it leaves.
+	leaving bool
+	// rejects makes the engine reject the next requests, that many, without executing them.
+	rejects int
 	// limit is the number of requests a second that the engine names in its answers as what it takes; zero names none.
 	limit float64
 	// onLimited is called for each request that arrives while the engine names a limit, unless nil.
@@ -97,10 +103,17 @@
 	e.mu.Lock()
 	e.arrivals[id]++
 	e.lastArrival = time.Now()
-	refusing, unprocessable := e.refusing, e.unprocessable[id]
+	refusing, unprocessable, leaving := e.refusing, e.unprocessable[id], e.leaving
+	if e.rejects > 0 {
+		e.rejects--
+		refusing = true
+	}
 	prompt := r.Header.Get("X-Prompt-Prefix")
 	name, failing, failTime, slots, limit := e.id, e.failing, e.failTime, e.slots, e.limit
 	e.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 		if e.onLimited != nil {
@@ -203,6 +216,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.id = id
+	e.leaving = false
 	e.slots = make(chan struct{}, cap(e.slots))
 }
 
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -175,13 +175,17 @@
 
 // putEngineRowAt writes an engine's row with the given port.
 func (c *cluster) putEngineRowAt(i int, state string, port int) {
-	c.store.put("servers", c.engines[i].id, map[string]any{
+	row := map[string]any{
 		"service": "llm",
 		"address": c.address(101+i, port),
 		"zone":    "a",
 		"slots":   cap(c.engines[i].slots),
 		"state":   state,
-	})
+	}
+	if c.engines[i].born > 0 {
+		row["born"] = c.engines[i].born
+	}
+	c.store.put("servers", c.engines[i].id, row)
 }
 
 // routes returns the routes that every configuration has.
--- a/test/platform/soak_calls_test.go
+++ b/test/platform/soak_calls_test.go
@@ -96,6 +96,7 @@
 	s.watcher.requestSent(id)
 	got := s.sendOnce(ctx, httpClient, vm, http.MethodPost, "/"+kind+"/x", id, "a question")
 	s.watcher.checkAnswer(id, sent, got, wholeStream(id, soakEvents), cancels)
+	s.watcher.checkDeparture(vm, sent, got)
 }
 
 // requestMarker sends a request to a marker route and checks the answer against the time when the route was configured:
--- a/test/platform/soak_fault_test.go
+++ b/test/platform/soak_fault_test.go
@@ -131,6 +131,7 @@
 	_ = p.command.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	_ = p.command.Process.Signal(syscall.SIGCONT)
+	s.watcher.forgetDepartures(vm)
 }
 
 func (s *soak) restart(rng *rand.Rand, duration time.Duration) {
--- a/test/platform/soak_judge_test.go
+++ b/test/platform/soak_judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -54,6 +55,14 @@
 			}
 		}
 	}
+	// departed plays an answer of an engine that leaves, which a VM passes on, and one for a request sent some time later.
+	departed := func(vm int, later time.Duration) func(w *watcher) {
+		return func(w *watcher) {
+			leaving := answer{status: 200, header: http.Header{"Server-Leaving": {"1"}, signatureHeader: {"e0/a"}}}
+			w.checkDeparture(0, past, leaving)
+			w.checkDeparture(vm, time.Now().Add(later), leaving)
+		}
+	}
 	cases := map[string]struct {
 		observe    func(w *watcher)
 		violations int
@@ -91,6 +100,11 @@
 		"crashing part in another fault":            {observe: func(w *watcher) { defer w.startFault()(); crashing(5, 9)(w) }},
 		"crashing request looks answered":           {observe: func(w *watcher) { w.checkCrashingAnswer("resumable-1", answer{status: 200}, true) }, violations: 1},
 		"answer to a part that crashed before":      {observe: func(w *watcher) { w.checkCrashingAnswer("resumable-1", answer{status: 200}, false) }},
+		"request to an engine that has left":        {observe: departed(0, soakApplyTime+time.Second), violations: 1},
+		"request to an engine that leaves":          {observe: departed(0, soakApplyTime/2)},
+		"request of another VM to it":               {observe: departed(1, soakApplyTime+time.Second)},
+		"request after a restart":                   {observe: func(w *watcher) { departed(0, 0)(w); w.vmStarted(0, time.Now()); departed(0, time.Minute)(w) }},
+		"request after a restart, heard again":      {observe: func(w *watcher) { w.vmStarted(0, past.Add(-time.Second)); departed(0, time.Minute)(w) }, violations: 1},
 		"limit exceeded":                            {observe: limited(18, 5*time.Second), violations: 1},
 		"limit kept":                                {observe: limited(17, 5*time.Second)},
 		"limit that is new":                         {observe: limited(30, 2*time.Second)},
--- a/test/platform/soak_limit_test.go
+++ b/test/platform/soak_limit_test.go
@@ -44,6 +44,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.vmStarts[vm] = at
+	w.remembersFrom[vm] = at
 }
 
 // limitedArrival records and checks a request that has reached an engine while the engine names a limit. The engine gets no
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -150,6 +150,8 @@
 	until := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
 	limits := rand.New(rand.NewPCG(s.seed, 3))
 	callers.Go(func() { s.nameLimits(limits, until) })
+	leaving := rand.New(rand.NewPCG(s.seed, 4))
+	callers.Go(func() { s.leaveEngines(leaving, until) })
 	s.disrupt(rng, until)
 	s.logEvent("all disruptions ended")
 	time.Sleep(soakSettleTime + soakApplyTime)
--- a/test/platform/soak_watch_test.go
+++ b/test/platform/soak_watch_test.go
@@ -58,6 +58,10 @@
 	limits   map[string]*engineLimit
 	vmStarts map[int]time.Time
 	jobs     map[string]*soakJob
+	// departures holds when a VM first passed on that an engine leaves, remembersFrom when each VM started last or was
+	// frozen.
+	departures    map[departureKey]time.Time
+	remembersFrom map[int]time.Time
 	// configSeen holds the newest configuration that each incarnation of a VM was seen to follow.
 	configSeen   map[string]seenConfig
 	statusCounts map[string]int
@@ -91,6 +95,8 @@
 		limits:        map[string]*engineLimit{},
 		vmStarts:      map[int]time.Time{},
 		jobs:          map[string]*soakJob{},
+		departures:    map[departureKey]time.Time{},
+		remembersFrom: map[int]time.Time{},
 		configSeen:    map[string]seenConfig{},
 		statusCounts:  map[string]int{},
 	}
