--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -175,7 +175,7 @@
 		return
 	}
 	i.known[e.ID] = e
-	i.log.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "slots", e.Slots, "leaving", e.Leaving)
+	i.log.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "slots", e.Slots, "leaving", e.Leaving, "born", e.Born)
 }
 
 func (i *Inventory) remove(id ID) {
