batch, vm: what comes in during a stop does not hold it up

Cause: the VM cancelled the jobs that it owned at SIGTERM and waited until it ran none, in the loop that closes the listener. Jobs whose acceptance or adoption ended meanwhile were started and not cancelled.

Change: a retiring VM starts no job but hands it over, waits 0.5 s at most for those that it stops, and hands over beside the other stages of the stop, each of which ends at its time.

waitJobs in the tests of package batch replaces the wait on the manager's wait group, which no longer exists, and waits for the same.

--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -19,13 +19,16 @@
 }
 
 // Adopt makes this VM the owner of a job and runs it. errNotOwner means that the job was not adopted: this VM already
-// runs it or is retiring, the claim has changed, or the job is complete or ended.
+// runs it, the claim has changed, or the job is complete or ended; errRetiring, that another VM must be asked.
 func (mgr *Manager) Adopt(ctx context.Context, args AdoptArgs) error {
 	mgr.mu.Lock()
 	alreadyOwned := mgr.owned[args.Job] != nil
 	retiring := mgr.retiring
 	mgr.mu.Unlock()
-	if alreadyOwned || retiring {
+	if retiring {
+		return errRetiring
+	}
+	if alreadyOwned {
 		return errNotOwner
 	}
 	c, revision, err := mgr.ledger.claim(ctx, args.Job)
@@ -93,7 +96,12 @@
 	return current, nil
 }
 
-// Retire stops the work on all jobs and returns what other VMs need to continue them.
+// retireTimeout bounds how long Retire waits for the jobs that it stops, which takes milliseconds. A job that takes longer is
+// handed over all the same: from its adoption on, this VM cannot write to it.
+const retireTimeout = 500 * time.Millisecond
+
+// Retire stops the work on all jobs and returns what other VMs need to continue them, and those jobs that could not be handed
+// over before. Jobs that are accepted or adopted from now on are not started; a later call returns them.
 func (mgr *Manager) Retire() []AdoptArgs {
 	mgr.mu.Lock()
 	mgr.retiring = true
@@ -102,17 +110,43 @@
 		owned = append(owned, j)
 	}
 	mgr.mu.Unlock()
-	handovers := make([]AdoptArgs, 0, len(owned))
 	for _, j := range owned {
 		j.cancel(errNotOwner)
 	}
-	mgr.running.Wait()
+	timeout := time.After(retireTimeout)
+	for _, j := range owned {
+		select {
+		case <-j.ended:
+		case <-timeout:
+			mgr.log.Warn("jobs take long to stop", "jobs", len(owned))
+			timeout = closedTimer()
+		}
+	}
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	handovers := mgr.stopped
+	mgr.stopped = nil
 	for _, j := range owned {
 		handovers = append(handovers, j.handover())
+		delete(mgr.owned, j.id)
 	}
 	return handovers
 }
 
+// closedTimer returns the channel of a timer that has expired and can be received from any number of times.
+func closedTimer() <-chan time.Time {
+	expired := make(chan time.Time)
+	close(expired)
+	return expired
+}
+
+// keep keeps jobs that could not be handed over for the next call of Retire.
+func (mgr *Manager) keep(handovers []AdoptArgs) {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	mgr.stopped = append(mgr.stopped, handovers...)
+}
+
 // handover returns the arguments with which another VM adopts the job.
 func (j *job) handover() AdoptArgs {
 	j.mu.Lock()
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -37,11 +37,18 @@
 	}, m, route.NewView(slog.New(slog.DiscardHandler)), noSlots{}, nil, nil, slog.New(slog.DiscardHandler))
 	t.Cleanup(func() {
 		cancel()
-		mgr.running.Wait()
+		waitJobs(mgr)
 	})
 	return mgr
 }
 
+// waitJobs waits until a manager runs no job.
+func waitJobs(mgr *Manager) {
+	for len(mgr.Owned()) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 var jobRoute = &route.Route{
 	Kind:     route.KindBatch,
 	Window:   18 * time.Second,
@@ -147,7 +154,7 @@
 					time.Sleep(50 * time.Millisecond)
 				}
 			}
-			mgr.running.Wait()
+			waitJobs(mgr)
 			m.applyLate()
 			results, err := mgr.ledger.results(context.Background(), "j", 0, true)
 			assert.NilError(t, err)
@@ -178,7 +185,7 @@
 		State:  StateSucceeded,
 		Output: "old",
 	}
-	a.running.Wait()
+	waitJobs(a)
 	owned(t, b, "j").results <- Result{
 		Item:   "j-0",
 		State:  StateSucceeded,
@@ -211,7 +218,7 @@
 	time.Sleep(20 * time.Millisecond)
 	assert.NilError(t, b.Adopt(context.Background(), AdoptArgs{Job: "j"}))
 	assert.Equal(t, m.applyLate(), 0)
-	a.running.Wait()
+	waitJobs(a)
 	results, err := b.ledger.results(context.Background(), "j", 0, true)
 	assert.NilError(t, err)
 	assert.Equal(t, len(results), 0)
--- /dev/null
+++ b/internal/batch/handover_test.go
@@ -0,0 +1,197 @@
+package batch
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrudder/internal/forward"
+	"rhubarbrudder/internal/pool"
+	"rhubarbrudder/internal/prompt"
+	"rhubarbrudder/internal/route"
+)
+
+// stubbornSlots never grants a slot and returns only after a delay when the wait is cancelled.
+type stubbornSlots struct {
+	delay time.Duration
+	// asked receives a value for each request, unless it is full.
+	asked chan struct{}
+}
+
+func (s stubbornSlots) Acquire(ctx context.Context, _ route.Service, _ pool.SlotRequest) (*pool.Slot, error) {
+	select {
+	case s.asked <- struct{}{}:
+	default:
+	}
+	<-ctx.Done()
+	time.Sleep(s.delay)
+	return nil, ctx.Err()
+}
+
+// noPrompts are headers of requests without a prompt, which are not sent.
+type noPrompts struct {
+	forward.Headers
+}
+
+func (noPrompts) Prompt(http.Header) prompt.Prompt { return nil }
+
+// batchConfig is a configuration with a route for the jobs of submission.
+func batchConfig() *route.Config {
+	rt := *jobRoute
+	rt.Host = "h"
+	rt.Prefix = "/p/"
+	rt.Shares = []route.Share{
+		{
+			Service: "s",
+			Weight:  1,
+		},
+	}
+	return &route.Config{
+		Version: 1,
+		Routes:  []route.Route{rt},
+	}
+}
+
+// retired calls Retire and returns the jobs, or fails the test if that takes long.
+func retired(t *testing.T, mgr *Manager) []AdoptArgs {
+	t.Helper()
+	handovers := make(chan []AdoptArgs, 1)
+	go func() { handovers <- mgr.Retire() }()
+	select {
+	case h := <-handovers:
+		return h
+	case <-time.After(2 * retireTimeout):
+		t.Fatal("Retire still waits")
+	}
+	return nil
+}
+
+// TestRetireIsNotHeldUp guards against a VM that does not stop because jobs that it accepts or adopts while it stops, or jobs
+// that take long to stop, keep it waiting. All of them must be handed over.
+func TestRetireIsNotHeldUp(t *testing.T) {
+	tests := map[string]struct {
+		// delay is how long the first job takes to stop.
+		delay time.Duration
+		// late makes the manager own another job while Retire waits for the first one.
+		late func(t *testing.T, m *memoryStore, mgr *Manager)
+		want []JobID
+	}{
+		"one job":                       {want: []JobID{"first"}},
+		"a job that takes long to stop": {delay: time.Minute, want: []JobID{"first"}},
+		"a job accepted meanwhile": {
+			delay: 100 * time.Millisecond,
+			late: func(t *testing.T, _ *memoryStore, mgr *Manager) {
+				assert.Check(t, mgr.Accept(context.Background(), submission("late", 2, 10), jobRoute) == nil)
+			},
+			want: []JobID{"first", "late"},
+		},
+		"a job whose adoption has begun": {
+			delay: 100 * time.Millisecond,
+			late: func(t *testing.T, m *memoryStore, mgr *Manager) {
+				assert.Check(t, newManager(t, m, "b").Accept(context.Background(), submission("late", 2, 10), jobRoute) == nil)
+				clock, c, items := m.clock, claim{Owner: "a", Number: 2}, submission("late", 2, 10).Items
+				mgr.start("late", newManifest(submission("late", 2, 10), jobRoute, 1), clock, c, 9, items, true, []Progress{{Item: "late-0", Failures: 2}})
+			},
+			want: []JobID{"first", "late"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryStore()
+			mgr := newManager(t, m, "a")
+			asked := make(chan struct{}, 1)
+			mgr.clients = stubbornSlots{
+				delay: test.delay,
+				asked: asked,
+			}
+			mgr.sender = forward.NewSender(noPrompts{})
+			mgr.view.Apply(batchConfig())
+			assert.NilError(t, mgr.Accept(context.Background(), submission("first", 2, 10), jobRoute))
+			<-asked
+			if test.late != nil {
+				go func() {
+					time.Sleep(20 * time.Millisecond)
+					test.late(t, m, mgr)
+				}()
+			}
+			got := retired(t, mgr)
+			time.Sleep(50 * time.Millisecond)
+			got = append(got, retired(t, mgr)...)
+			var jobs []JobID
+			for _, args := range got {
+				jobs = append(jobs, args.Job)
+			}
+			slices.Sort(jobs)
+			assert.DeepEqual(t, jobs, test.want)
+			assert.Equal(t, len(mgr.Owned()), 0)
+			assert.ErrorIs(t, mgr.Adopt(context.Background(), AdoptArgs{Job: "first"}), errRetiring)
+		})
+	}
+}
+
+// TestHandOver checks which VM adopts a job of one that stops, and that a job that none adopts is kept for the next attempt.
+func TestHandOver(t *testing.T) {
+	tests := map[string]struct {
+		// retiring are the other VMs that retire after they were asked whether they do.
+		retiring []string
+		silent   []string
+		owner    string
+		kept     int
+	}{
+		"to the first":                     {owner: "b"},
+		"the first has begun to retire":    {retiring: []string{"b"}, owner: "c"},
+		"the first does not answer":        {silent: []string{"b"}, owner: "c"},
+		"all have begun to retire":         {retiring: []string{"b", "c"}, owner: "a", kept: 1},
+		"one retires, one does not answer": {retiring: []string{"b"}, silent: []string{"c"}, owner: "a", kept: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMemoryStore()
+			managers := map[string]*Manager{}
+			for _, vm := range []string{"a", "b", "c"} {
+				managers[vm] = newManager(t, m, vm)
+			}
+			a := managers["a"]
+			assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			caller := slowCaller{
+				managers: managers,
+				delay:    map[string]time.Duration{},
+			}
+			for _, vm := range test.silent {
+				caller.delay[vm] = time.Minute
+			}
+			s := NewSupervisor(a, vmList{"a", "b", "c"}, lateRetirer{
+				slowCaller: caller,
+				retiring:   test.retiring,
+			}, func() bool { return true }, time.Minute, slog.New(slog.DiscardHandler))
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			s.HandOver(ctx, a.Retire())
+			c, _, err := a.ledger.claim(context.Background(), "j")
+			assert.NilError(t, err)
+			assert.Equal(t, c.Owner, test.owner)
+			assert.Equal(t, len(a.Retire()), test.kept)
+		})
+	}
+}
+
+// lateRetirer calls managers, some of which retire when they are asked to adopt a job.
+type lateRetirer struct {
+	slowCaller
+	retiring []string
+}
+
+func (c lateRetirer) Call(ctx context.Context, address, method string, args, reply any) error {
+	for _, vm := range c.retiring {
+		if vm == address && method == MethodAdopt {
+			c.managers[vm].Retire()
+		}
+	}
+	return c.slowCaller.Call(ctx, address, method, args, reply)
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -35,6 +35,8 @@
 	// errNotOwner means that this VM does not own the job, no longer owns it, or can't become its owner. Its text is sent
 	// to other VMs.
 	errNotOwner = errors.New("batch: job lost")
+	// errRetiring means that this VM is retiring and adopts no jobs. Its text is sent to other VMs.
+	errRetiring = errors.New("batch: vm is retiring")
 )
 
 // Item is one request of a job.
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -61,8 +61,9 @@
 	owned     map[JobID]*job
 	manifests map[JobID]manifest
 	retiring  bool
-	// running counts the jobs in owned.
-	running sync.WaitGroup
+	// stopped holds what other VMs need to continue the jobs that this VM has stopped, or has not started because it is
+	// retiring, until they are handed over.
+	stopped []AdoptArgs
 }
 
 // NewManager returns a Manager without jobs; the jobs that it runs stop when ctx ends.
@@ -160,7 +161,8 @@
 }
 
 // start begins to run a job that this VM owns. The clock is the store's current clock. If the job had another owner before,
-// hasResults is set and progress holds the partial output that it handed over.
+// hasResults is set and progress holds the partial output that it handed over. A retiring VM does not run the job, but hands it
+// over.
 func (mgr *Manager) start(id JobID, m manifest, clock store.Clock, c claim, revision store.Revision, items []Item, hasResults bool, progress []Progress) {
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
@@ -168,6 +170,13 @@
 		return
 	}
 	mgr.cacheManifest(id, m)
+	if mgr.retiring {
+		mgr.stopped = append(mgr.stopped, AdoptArgs{
+			Job:      id,
+			Progress: progress,
+		})
+		return
+	}
 	// The time of submission is converted from the store's clock to that of this VM.
 	submitted := time.Now().Add(-time.Duration(clock-m.Submitted) * time.Millisecond)
 	ctx, cancel := context.WithCancelCause(mgr.baseCtx)
@@ -187,15 +196,17 @@
 		attempts: maps.Clone(c.Attempts),
 
 		attemptsChanged: make(chan struct{}, 1),
+		ended:           make(chan struct{}),
 	}
 	mgr.owned[id] = j
-	mgr.running.Go(func() {
+	go func() {
+		defer close(j.ended)
 		j.run(ctx, hasResults)
 		cancel(nil)
 		mgr.mu.Lock()
 		defer mgr.mu.Unlock()
 		delete(mgr.owned, id)
-	})
+	}()
 }
 
 // Incarnation returns the incarnation of this VM's process, which changes with each start.
--- a/internal/batch/read_test.go
+++ b/internal/batch/read_test.go
@@ -40,7 +40,7 @@
 					Output: outputs[n],
 				}
 			}
-			mgr.running.Wait()
+			waitJobs(mgr)
 			for from := 0; from < len(sizes); {
 				listing, err := mgr.Results(context.Background(), "j", from, 1<<30)
 				assert.NilError(t, err)
@@ -82,7 +82,7 @@
 			State: StateSucceeded,
 		}
 	}
-	b.running.Wait()
+	waitJobs(b)
 	results, err := b.ledger.results(context.Background(), "j", 0, true)
 	assert.NilError(t, err)
 	assert.Equal(t, len(results), 2)
@@ -94,7 +94,7 @@
 	assert.NilError(t, a.End(context.Background(), "j"))
 	ended := make(chan struct{})
 	go func() {
-		b.running.Wait()
+		waitJobs(b)
 		close(ended)
 	}()
 	select {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -79,6 +79,8 @@
 	recorded []chan struct{}
 	// attemptsChanged holds a token while attempts has changed.
 	attemptsChanged chan struct{}
+	// ended is closed when the job is no longer run here.
+	ended chan struct{}
 }
 
 // errRevoked means that the steward, which grants the slots of a service, revoked the slot of a run.
--- a/internal/batch/supervisor.go
+++ b/internal/batch/supervisor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -326,27 +325,3 @@
 		}()
 	}
 }
-
-// HandOver transfers jobs that this VM has stopped, with their partial output, to other VMs.
-func (s *Supervisor) HandOver(ctx context.Context, handovers []AdoptArgs) {
-	others := map[pool.VMName]bool{}
-	for _, vm := range s.roster.All() {
-		if vm.Name != s.manager.self.Name {
-			others[vm.Name] = true
-		}
-	}
-	answers := s.queryOwners(ctx, others, queryTimeout)
-	maps.DeleteFunc(answers, func(_ pool.VMName, holds HoldsReply) bool {
-		return holds.Retiring
-	})
-	candidates := slices.Sorted(maps.Keys(answers))
-	for i, args := range handovers {
-		if len(candidates) == 0 {
-			s.log.Warn("job not handed over", "job", args.Job)
-			continue
-		}
-		vm := candidates[i%len(candidates)]
-		err := s.call(ctx, vm, adoptTimeout, MethodAdopt, args, &HoldsReply{})
-		s.log.Info("job handed over", "job", args.Job, "to", vm, "progress", len(args.Progress), "err", err)
-	}
-}
--- a/internal/vm/drain.go
+++ b/internal/vm/drain.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// drain stops accepting work in stages, hands over the batch jobs, and waits until the requests in progress are
-// answered.
+// drain stops accepting work in stages, hands over the batch jobs, and waits until the requests in progress are answered. Each
+// stage ends at its time, whatever the handover waits for.
 func (p *Process) drain() {
 	started := time.Now()
 	p.log.Info("draining", "active", p.front.active.Load())
@@ -15,39 +15,49 @@
 	// Idle connections are closed now, because callers would otherwise send on them until the process ends.
 	p.callers.SetKeepAlivesEnabled(false)
 	p.stewards.Retire()
-	for time.Since(started) < minDrainTime {
-		p.handOver()
-		time.Sleep(drainPoll)
-	}
-	ctx, cancel := context.WithTimeout(p.baseCtx, maxDrainTime-minDrainTime)
+	ctx, cancel := context.WithDeadline(p.baseCtx, started.Add(maxDrainTime))
 	defer cancel()
-	answered := make(chan error, 1)
-	go func() { answered <- p.callers.Shutdown(ctx) }()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for ended := false; !ended; {
-		p.handOver()
+	answered := make(chan struct{})
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		handOverCtx, cancelHandOver := context.WithDeadline(p.baseCtx, started.Add(maxDrainTime+lastHandOverTime))
+		defer cancelHandOver()
+		p.handOverUntil(handOverCtx, answered)
+	}()
+	time.Sleep(minDrainTime)
+	if err := p.callers.Shutdown(ctx); err != nil {
+		p.log.Warn("requests cut off", "active", p.front.active.Load(), "err", err)
+	}
+	close(answered)
+	select {
+	case <-handedOver:
+	case <-time.After(time.Until(started.Add(maxDrainTime + lastHandOverTime))):
+		p.log.Warn("batch jobs not handed over in time")
+	}
+	p.log.Info("drained", "active", p.front.active.Load(), "took_ms", time.Since(started).Milliseconds())
+}
+
+// handOverUntil hands over the batch jobs that this VM owns again and again, because jobs may still be accepted while callers
+// are served, and a last time when all callers are answered.
+func (p *Process) handOverUntil(ctx context.Context, answered <-chan struct{}) {
+	for last := false; !last; {
 		select {
-		case err := <-answered:
-			ended = true
-			if err != nil {
-				p.log.Warn("requests cut off", "active", p.front.active.Load(), "err", err)
-			}
-		case <-ticker.C:
+		case <-answered:
+			last = true
+		case <-time.After(drainPoll):
 		}
+		p.handOver(ctx)
 	}
-	p.handOver()
-	p.log.Info("drained", "active", p.front.active.Load(), "took_ms", time.Since(started).Milliseconds())
 }
 
-// handOver transfers the batch jobs that this VM owns to other VMs. It is called repeatedly, because jobs may still be
-// accepted while callers are served.
-func (p *Process) handOver() {
+// handOver transfers the batch jobs that this VM owns to other VMs.
+func (p *Process) handOver(ctx context.Context) {
 	handovers := p.batchManager.Retire()
 	if len(handovers) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(p.baseCtx, handOverTimeout)
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	p.batchSupervisor.HandOver(ctx, handovers)
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -37,8 +37,10 @@
 	maxDrainTime = 7300 * time.Millisecond
 	// drainPoll is the time between the handovers of batch jobs during a shutdown.
 	drainPoll = 50 * time.Millisecond
-	// handOverTimeout bounds one handover of batch jobs.
-	handOverTimeout = 2 * time.Second
+	// handOverTimeout bounds one handover of batch jobs, and lastHandOverTime how much longer than maxDrainTime the last one
+	// may take.
+	handOverTimeout  = 2 * time.Second
+	lastHandOverTime = 400 * time.Millisecond
 	// maxHeaderBytes bounds headers before the configured limit is checked.
 	maxHeaderBytes = 64 << 10
 	// headerTime and idleTime bound the arrival of headers and the time of an idle connection if the configuration sets
