peer: a call to a frozen peer ends at its time limit

Seen by the review, shown now: a call that had to connect first waited up to 2 s for the greeting of a peer that accepts connections and sends nothing, whatever the caller's limit. A steward or a handover that asks a frozen VM was held up that long.

Change: the greeting goes on beside the call, which ends at its limit. A connection that is greeted later is kept for the calls after it, as before.

Measured: TestFrozenPeer failed before in both cases (a call took 2 s where 0.1 s is the limit, or 0.25 s) and passes.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -218,21 +218,27 @@
 	if client != nil {
 		return client, nil
 	}
-	client, err := c.dial(ctx, address)
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if other := c.conns[address]; other != nil {
-		_ = client.Close()
-		return other, nil
+	greeted := make(chan greeting, 1)
+	go func() { greeted <- c.greet(address, conn) }()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case g := <-greeted:
+		return g.client, g.err
 	}
-	c.conns[address] = client
-	return client, nil
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*rpc.Client, error) {
+// greeting is the outcome of greet.
+type greeting struct {
+	client *rpc.Client
+	err    error
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -243,18 +249,48 @@
 	if c.traffic != nil {
 		conn = c.traffic.count(conn)
 	}
+	return conn, nil
+}
+
+// greet proves to the peer that this VM knows the secret, and keeps the connection unless there is another one by now. A
+// frozen peer accepts connections and sends nothing until handshakeTimeout; one that is slow to greet can be called later.
+func (c *Client) greet(address string, conn net.Conn) greeting {
+	if err := c.prove(conn); err != nil {
+		_ = conn.Close()
+		return greeting{
+			err: err,
+		}
+	}
+	client := rpc.NewClient(conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[address]; other != nil {
+		_ = client.Close()
+		client = other
+	}
+	if c.cut[address] {
+		_ = client.Close()
+		return greeting{
+			err: ErrUnreachable,
+		}
+	}
+	c.conns[address] = client
+	return greeting{
+		client: client,
+	}
+}
+
+// prove answers the peer's nonce.
+func (c *Client) prove(conn net.Conn) error {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	nonce := make([]byte, nonceBytes)
 	if _, err := io.ReadFull(conn, nonce); err != nil {
-		_ = conn.Close()
-		return nil, err
+		return err
 	}
 	if _, err := conn.Write(proof(c.secret, nonce)); err != nil {
-		_ = conn.Close()
-		return nil, err
+		return err
 	}
-	_ = conn.SetDeadline(time.Time{})
-	return rpc.NewClient(conn), nil
+	return conn.SetDeadline(time.Time{})
 }
 
 func (c *Client) drop(address string, client *rpc.Client) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -85,3 +85,56 @@
 		})
 	}
 }
+
+// TestFrozenPeer checks that a call to a peer that accepts connections and does not greet ends at its time limit, and that a
+// peer that greets late is called on the same connection afterwards.
+func TestFrozenPeer(t *testing.T) {
+	tests := map[string]struct {
+		// greets is when the peer begins to serve, or zero if it does not.
+		greets time.Duration
+		calls  int
+	}{
+		"frozen":        {calls: 3},
+		"slow to greet": {greets: 250 * time.Millisecond, calls: 3},
+	}
+	const limit = 100 * time.Millisecond
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = listener.Close() }()
+			server := NewServer(Secret("s"), slog.New(slog.DiscardHandler))
+			defer server.Close()
+			service := &SlowService{
+				release: make(chan struct{}),
+				called:  make(chan struct{}, 10),
+			}
+			close(service.release)
+			assert.NilError(t, server.Register("Slow", service))
+			if test.greets > 0 {
+				time.AfterFunc(test.greets, func() { _ = server.Serve(listener) })
+			}
+			client := NewClient(Secret("s")).KeepConnOnCancel()
+			defer client.Close()
+			call := func() (time.Duration, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				defer cancel()
+				began := time.Now()
+				var reply int
+				err := client.Call(ctx, listener.Addr().String(), "Slow.Wait", 0, &reply)
+				return time.Since(began), err
+			}
+			for range test.calls {
+				took, _ := call()
+				assert.Assert(t, took < 2*limit, "a call took %v", took)
+			}
+			_, err = call()
+			if test.greets == 0 {
+				assert.ErrorIs(t, err, ErrUnreachable)
+				return
+			}
+			assert.NilError(t, err)
+		})
+	}
+}
