forward: a path that begins with two slashes is sent as it is

Seen by the review, shown now: such a path was sent to the endpoint as the absolute address http://..., that is, as another target (a route with the prefix / or // is needed for it).

Change: such targets are given to net/http as a path instead of an opaque part, and are not sent at all if that would change a byte.

--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"syscall"
 	"time"
 
@@ -173,10 +174,8 @@
 	if err != nil {
 		return nil, oops.In("forward").Wrap(errors.Join(ErrNotSent, err))
 	}
-	req.URL = &url.URL{
-		Scheme: "http",
-		Host:   to.Address,
-		Opaque: call.Target,
+	if req.URL, err = targetURL(to.Address, call.Target); err != nil {
+		return nil, oops.In("forward").Wrap(errors.Join(ErrNotSent, err))
 	}
 	req.Host = call.Host
 	req.ContentLength = int64(len(call.Body))
@@ -211,6 +210,36 @@
 	return nil, oops.In("forward").With("status", response.StatusCode).Wrapf(ErrBroken, "answer to another request")
 }
 
+// errTarget means that a target cannot be sent byte for byte.
+var errTarget = errors.New("forward: target cannot be sent unchanged")
+
+// targetURL returns a URL with which the target is sent byte for byte. An opaque part that begins with two slashes would be
+// sent as an absolute address, so such a target is given as a path.
+func targetURL(address, target string) (*url.URL, error) {
+	location := &url.URL{
+		Scheme: "http",
+		Host:   address,
+		Opaque: target,
+	}
+	if !strings.HasPrefix(target, "//") {
+		return location, nil
+	}
+	path, query, hasQuery := strings.Cut(target, "?")
+	unescaped, err := url.PathUnescape(path)
+	if err != nil {
+		return nil, err
+	}
+	location.Opaque = ""
+	location.Path = unescaped
+	location.RawPath = path
+	location.RawQuery = query
+	location.ForceQuery = hasQuery
+	if location.RequestURI() != target {
+		return nil, errTarget
+	}
+	return location, nil
+}
+
 // crashCheckTimeout bounds the attempt to connect to an endpoint that may have crashed; a live host answers at once.
 const crashCheckTimeout = 50 * time.Millisecond
 
