batch: items wait as long as their route allows, also if it allows more later

Change: the longer of the two times counts. A job that stops waits for its jobs with a context, without a channel of its own making.

--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -113,13 +113,13 @@
 	for _, j := range owned {
 		j.cancel(errNotOwner)
 	}
-	timeout := time.After(retireTimeout)
+	ctx, cancel := context.WithTimeout(mgr.baseCtx, retireTimeout)
+	defer cancel()
 	for _, j := range owned {
 		select {
 		case <-j.ended:
-		case <-timeout:
-			mgr.log.Warn("jobs take long to stop", "jobs", len(owned))
-			timeout = closedTimer()
+		case <-ctx.Done():
+			mgr.log.Warn("job takes long to stop", "job", j.id)
 		}
 	}
 	mgr.mu.Lock()
@@ -133,13 +133,6 @@
 	return handovers
 }
 
-// closedTimer returns the channel of a timer that has expired and can be received from any number of times.
-func closedTimer() <-chan time.Time {
-	expired := make(chan time.Time)
-	close(expired)
-	return expired
-}
-
 // keep keeps jobs that could not be handed over for the next call of Retire.
 func (mgr *Manager) keep(handovers []AdoptArgs) {
 	mgr.mu.Lock()
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -181,20 +181,19 @@
 	submitted := time.Now().Add(-time.Duration(clock-m.Submitted) * time.Millisecond)
 	ctx, cancel := context.WithCancelCause(mgr.baseCtx)
 	j := &job{
-		manager:  mgr,
-		id:       id,
-		manifest: m,
-		items:    items,
-		claim:    c,
-		revision: revision,
-		checked:  time.Now(),
-		due:      submitted.Add(m.Window),
-		abandon:  submitted.Add(m.Abandon),
-		cancel:   cancel,
-		results:  make(chan Result, len(items)),
-		partial:  adoptedProgress(c, progress),
-		attempts: maps.Clone(c.Attempts),
-
+		manager:         mgr,
+		id:              id,
+		manifest:        m,
+		items:           items,
+		claim:           c,
+		revision:        revision,
+		checked:         time.Now(),
+		submitted:       submitted,
+		due:             submitted.Add(m.Window),
+		cancel:          cancel,
+		results:         make(chan Result, len(items)),
+		partial:         adoptedProgress(c, progress),
+		attempts:        maps.Clone(c.Attempts),
 		attemptsChanged: make(chan struct{}, 1),
 		ended:           make(chan struct{}),
 	}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -60,10 +60,10 @@
 	id       JobID
 	manifest manifest
 	items    []Item
-	// due is when the job should be complete, abandon when items without a result are declared dead.
-	due     time.Time
-	abandon time.Time
-	cancel  context.CancelCauseFunc
+	submitted time.Time
+	// due is when the job should be complete.
+	due    time.Time
+	cancel context.CancelCauseFunc
 	// results passes the results of items to commitAll. It has room for all of them, so that sending never blocks.
 	results chan Result
 
@@ -146,7 +146,7 @@
 			continue
 		}
 		noRouteSince = time.Time{}
-		if time.Now().After(j.abandon) {
+		if time.Now().After(j.abandonAt(rt)) {
 			j.finishItem(item, progress, StateDead, "too old")
 			return
 		}
@@ -170,7 +170,7 @@
 				withheld = true
 				j.manager.log.Warn("item withheld", "job", j.id, "item", item.ID, "prompt", j.prompt(item), "err", err)
 			}
-			sleep(ctx, min(withheldPause, time.Until(j.abandon)))
+			sleep(ctx, min(withheldPause, time.Until(j.abandonAt(rt))))
 			continue
 		}
 		j.endFailedAttempt(ctx, item, &progress, endpoint, err)
@@ -191,6 +191,12 @@
 	}
 }
 
+// abandonAt returns when an item without a result is declared dead: after the time that its route allowed when the job was
+// submitted, or allows now, if that is longer.
+func (j *job) abandonAt(rt *route.Route) time.Time {
+	return j.submitted.Add(max(j.manifest.Abandon, rt.Abandon))
+}
+
 // itemBackoff returns the pause after a failed attempt. An item at which several endpoints have crashed in a row is likely
 // to be the cause, so it is tried less and less.
 func itemBackoff(failedAttempts, crashes int) time.Duration {
@@ -270,7 +276,7 @@
 		Class:   pool.ClassBatch,
 		Rank:    rt.Rank,
 		Start:   j.due.Add(-dueMargin - j.remaining(item, service, progress)),
-		Expires: j.abandon,
+		Expires: j.abandonAt(rt),
 		Avoid:   *avoid,
 		Prompt:  j.prompt(item).Shared(),
 	})
