--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -56,10 +56,10 @@
 
 // job is a job that this VM runs.
 type job struct {
-	manager  *Manager
-	id       JobID
-	manifest manifest
-	items    []Item
+	manager   *Manager
+	id        JobID
+	manifest  manifest
+	items     []Item
 	submitted time.Time
 	// due is when the job should be complete.
 	due    time.Time
