--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -61,26 +61,30 @@
 	return nil
 }
 
-// takeOver writes a claim by which this VM owns the job, and returns the claim's revision. It retries until the outcome is
-// known or ctx ends: no VM runs a job whose claim names this one until it is started here.
+// takeOverTimeout bounds an attempt to write a claim, so that there is time for another one if its answer is lost.
+const takeOverTimeout = adoptTimeout / 2
+
+// takeOver writes a claim by which this VM owns the job, and returns the claim's revision. An attempt whose outcome is unknown
+// is repeated until the outcome is known or ctx ends: no VM runs a job whose claim names this one until it is started here. A
+// store that rejects the first attempt has enough to do; the supervisor asks again.
 func (mgr *Manager) takeOver(ctx context.Context, id JobID, revision store.Revision, next claim) (store.Revision, error) {
-	timeout := initialTimeout
-	for {
-		written, err := mgr.tryTakeOver(ctx, timeout, id, revision, next)
-		if err == nil || errors.Is(err, errNotOwner) {
+	uncertain := false
+	for pause := retryPause; ; pause *= 2 {
+		written, err := mgr.tryTakeOver(ctx, id, revision, next)
+		uncertain = uncertain || errors.Is(err, store.ErrUnknown)
+		if err == nil || errors.Is(err, errNotOwner) || !uncertain {
 			return written, err
 		}
-		mgr.log.Warn("attempt to adopt job failed", "job", id, "timeout_ms", timeout.Milliseconds(), "err", err)
-		timeout = min(2*timeout, maxTimeout)
-		if !sleep(ctx, retryPause) {
+		mgr.log.Warn("attempt to adopt job failed", "job", id, "err", err)
+		if !sleep(ctx, pause) {
 			return 0, err
 		}
 	}
 }
 
 // tryTakeOver makes one attempt to write the claim. If the claim has changed, an earlier attempt may have done that.
-func (mgr *Manager) tryTakeOver(ctx context.Context, timeout time.Duration, id JobID, revision store.Revision, next claim) (store.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (mgr *Manager) tryTakeOver(ctx context.Context, id JobID, revision store.Revision, next claim) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
 	written, err := mgr.ledger.write(ctx, id, revision, next, nil)
 	if !errors.Is(err, store.ErrConflict) {
