vm: a job that is sent again is confirmed whatever route has its path

Callers that sent an accepted job again got 200 and a stream: an endpoint had run the job as an online request.

Cause: acceptAgain looked for the job only if no route matched at all.

Change: a request to a route of another kind is looked up in the store if its body is that of a job, after the body has been read. All other online requests cost no read. Ruled out: a lookup by the headers alone, which would read the store for each online request with a JSON body.

--- a/internal/vm/front.go
+++ b/internal/vm/front.go
@@ -84,6 +84,9 @@
 		f.accept(w, r, rt, body)
 		return
 	}
+	if f.confirmJob(w, r, body) {
+		return
+	}
 	f.forwarder.Serve(w, r, rt, body, arrived)
 }
 
--- a/internal/vm/job.go
+++ b/internal/vm/job.go
@@ -76,9 +76,35 @@
 		f.refuseUnread(w, r, status, "body")
 		return true
 	}
+	f.answerKnownJob(w, r, id)
+	return true
+}
+
+// confirmJob does the same for a request that goes to a route of another kind: if its body is that of a job, that route may
+// have taken over the path of the job's.
+func (f *front) confirmJob(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	if !platform.MaySubmit(r) {
+		return false
+	}
+	submission, err := platform.DecodeSubmission(r, body)
+	if err != nil {
+		return false
+	}
+	exists, err := f.lookUpJob(r, submission.ID)
+	if err != nil {
+		f.refuse(w, r, http.StatusServiceUnavailable, err.Error())
+		return true
+	}
+	if exists {
+		f.answerKnownJob(w, r, submission.ID)
+	}
+	return exists
+}
+
+// answerKnownJob answers the submission of a job that exists.
+func (f *front) answerKnownJob(w http.ResponseWriter, r *http.Request, id batch.JobID) {
 	f.log.Info("job already exists", "job", id, "host", r.Host)
 	w.WriteHeader(http.StatusAccepted)
-	return true
 }
 
 // errLookups means that as many lookups of jobs are in progress as are allowed.
--- a/test/platform/job_recovery_test.go
+++ b/test/platform/job_recovery_test.go
@@ -90,6 +90,7 @@
 		"removed, and all VMs restart":        {subnet: 78, routes: []map[string]any{online("/once/")}, restart: true},
 		"another route matches all paths":     {subnet: 79, routes: []map[string]any{online("/")}},
 		"another route, and all VMs restart":  {subnet: 80, routes: []map[string]any{online("/")}, restart: true},
+		"another route has its path":          {subnet: 115, routes: []map[string]any{online("/jobs/")}},
 		"the route has moved to another path": {subnet: 81, routes: []map[string]any{moved}},
 		"the route has moved to another host": {subnet: 82, routes: []map[string]any{elsewhere}},
 	}
@@ -129,11 +130,16 @@
 				got := c.send(vm, http.MethodGet, "/items/open?id=open-item-3", "", "")
 				assert.Equal(t, got.status, http.StatusOK)
 				assert.Equal(t, got.body, "the body")
-				if len(test.routes) > 0 && test.routes[0]["pathPrefix"] != "/" {
-					assert.Equal(t, submit(vm, "open").status, http.StatusAccepted)
+				for _, id := range []string{"done", "open"} {
+					assert.Equal(t, submit(vm, id).status, http.StatusAccepted)
+					assert.Equal(t, e.get(func(e *engineStandin) int { return e.arrivals[id] }), 0, "the job was sent to an engine")
+				}
+				if test.routes[0]["pathPrefix"] == "/once/" || test.routes[0]["kind"] == "batch" {
 					_, status = c.readResults(vm, "unknown", 0)
 					assert.Equal(t, status, http.StatusNotFound)
 					assert.Equal(t, submit(vm, "unknown").status, http.StatusNotFound)
+				} else {
+					assert.Equal(t, submit(vm, fmt.Sprintf("online-%d", vm)).status, http.StatusOK)
 				}
 				assert.Equal(t, c.send(vm, http.MethodDelete, "/lots/open", "", "").status, http.StatusOK)
 			}
