batch: an unknown configuration does not count as one without the route

A VM that adopts a job before it has read its first configuration found no route for the items, and declared them dead 5 s later. A restart of all VMs while the row of the configuration cannot be read, but the rows of jobs can, leads there.

Change: the time without a route counts only while a configuration is known.

Measured: TestItemOutlivesUnknownConfiguration failed in 1 of 3 cases before (both items dead) and passes. Not seen in a run with processes.

--- a/internal/batch/abandon_test.go
+++ b/internal/batch/abandon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -54,3 +55,36 @@
 		})
 	}
 }
+
+// TestItemOutlivesUnknownConfiguration guards against items that are given up by a VM that has started again and does not know
+// their route yet, although no configuration has removed it.
+func TestItemOutlivesUnknownConfiguration(t *testing.T) {
+	elsewhere := batchConfig()
+	elsewhere.Routes[0].Host = "elsewhere"
+	tests := map[string]struct {
+		config *route.Config
+		dead   int
+	}{
+		"no configuration yet": {},
+		"route there":          {config: batchConfig()},
+		"route gone":           {config: elsewhere, dead: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemoryStore()
+				assert.NilError(t, newManager(t, m, "a").Accept(context.Background(), submission("j", 2, 10), jobRoute))
+				mgr := newManager(t, m, "b")
+				mgr.sender = forward.NewSender(noPrompts{})
+				if test.config != nil {
+					mgr.view.Apply(test.config)
+				}
+				assert.NilError(t, mgr.Adopt(context.Background(), AdoptArgs{Job: "j"}))
+				time.Sleep(2 * routeTimeout)
+				results, err := mgr.ledger.results(context.Background(), "j", 0, true)
+				assert.NilError(t, err)
+				assert.Equal(t, len(results), test.dead)
+			})
+		})
+	}
+}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -133,7 +133,13 @@
 	failedAttempts := 0
 	withheld := false
 	for n := 0; ctx.Err() == nil; n++ {
-		rt := j.route(item)
+		config := j.manager.view.Current()
+		if config == nil {
+			// This VM has just started. That it knows no configuration yet does not mean that the route is gone.
+			sleep(ctx, retryPause)
+			continue
+		}
+		rt := config.Match(j.manifest.Host, item.Path)
 		if rt == nil {
 			if noRouteSince.IsZero() {
 				noRouteSince = time.Now()
@@ -230,14 +236,6 @@
 	j.savePartial(progress)
 }
 
-func (j *job) route(item *Item) *route.Route {
-	config := j.manager.view.Current()
-	if config == nil {
-		return nil
-	}
-	return config.Match(j.manifest.Host, item.Path)
-}
-
 // finishItem logs the final state of an item and passes its result on to be committed. In the log, tokens_at_most is the
 // maximum number of output tokens.
 func (j *job) finishItem(item *Item, progress Progress, state State, reason string) {
