batch: a job counts as handed over only when it has another owner

A VM that stops took each error of an adoption but "retiring" as success. If the store rejected the new claim or could not be read, the progress of the job's items was gone: output, results not committed yet, and failures that the store did not have.

Change: a job is handed over when the VM that was asked owns it or says that the job has another owner or none. Else two more VMs are asked, and after half a second others. The adoption names the number of the claim, so that a job is not taken from a VM whose answer was lost, nor taken back by a former owner.

Measured: TestHandOver failed in 3 of 10 cases before (the store rejects the first, the store rejects all, the first cannot read the store) and passes.

--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -14,6 +14,9 @@
 	// Revision is the revision of the claim as read by the VM that asks; the job is not adopted if the claim has changed
 	// since. Zero accepts any revision.
 	Revision store.Revision
+	// Number is the number of the claim under which the VM that asks has run the job; the job is not adopted if it has had
+	// another owner since. Zero accepts any number.
+	Number int
 	// Progress is the partial output of items without a result, as generated at the previous owner.
 	Progress []Progress
 }
@@ -35,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	if revision == 0 || args.Revision != 0 && args.Revision != revision {
+	if revision == 0 || args.Revision != 0 && args.Revision != revision || args.Number != 0 && args.Number != c.Number {
 		return errNotOwner
 	}
 	m, clock, err := mgr.ledger.manifest(ctx, args.Job)
@@ -149,7 +152,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	args := AdoptArgs{
-		Job: j.id,
+		Job:    j.id,
+		Number: j.claim.Number,
 	}
 	for _, progress := range j.partial {
 		args.Progress = append(args.Progress, progress)
--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -3,43 +3,62 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"rhubarbrudder/internal/pool"
 )
 
-// maxHandovers bounds how many jobs are handed over at once.
-const maxHandovers = 4
+const (
+	// maxHandovers bounds how many jobs are handed over at once.
+	maxHandovers = 4
+	// maxAdopters bounds the VMs among which the jobs are distributed.
+	maxAdopters = 16
+	// maxAdoptersAsked bounds the VMs that are asked to adopt one job until the next call of HandOver.
+	maxAdoptersAsked = 3
+)
 
-// HandOver transfers jobs that this VM has stopped, with their partial output, to other VMs. The jobs that no VM was asked to
-// adopt until ctx ended are kept for the next call of Retire.
-func (s *Supervisor) HandOver(ctx context.Context, handovers []AdoptArgs) {
+// HandOver transfers jobs that this VM has stopped, with the progress of their items, to other VMs, and returns how many have
+// another owner. The others are kept for the next call of Retire.
+func (s *Supervisor) HandOver(ctx context.Context, handovers []AdoptArgs) int {
 	candidates := s.adopters(ctx)
 	slots := make(chan struct{}, maxHandovers)
 	var running sync.WaitGroup
+	var adopted atomic.Int64
 	for i, args := range handovers {
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			if !s.handOver(ctx, args, candidates, i) {
-				s.log.Warn("job not handed over", "job", args.Job, "candidates", len(candidates))
-				s.manager.keep([]AdoptArgs{args})
+			if s.handOver(ctx, args, candidates, i) {
+				adopted.Add(1)
+				return
 			}
+			s.log.Warn("job not handed over", "job", args.Job, "candidates", len(candidates))
+			s.manager.keep([]AdoptArgs{args})
 		})
 	}
 	running.Wait()
+	return int(adopted.Load())
 }
 
-// adopters returns the other VMs that answer and are not retiring.
+// adopters returns some of the other VMs that answer and are not retiring.
 func (s *Supervisor) adopters(ctx context.Context) []pool.VMName {
-	others := map[pool.VMName]bool{}
+	var names []pool.VMName
 	for _, vm := range s.roster.All() {
 		if vm.Name != s.manager.self.Name {
-			others[vm.Name] = true
+			names = append(names, vm.Name)
 		}
 	}
+	rand.Shuffle(len(names), func(i, k int) {
+		names[i], names[k] = names[k], names[i]
+	})
+	others := map[pool.VMName]bool{}
+	for _, name := range names[:min(len(names), maxAdopters)] {
+		others[name] = true
+	}
 	answers := s.queryOwners(ctx, others, queryTimeout)
 	maps.DeleteFunc(answers, func(_ pool.VMName, holds HoldsReply) bool {
 		return holds.Retiring
@@ -47,17 +66,17 @@
 	return slices.Sorted(maps.Keys(answers))
 }
 
-// handOver asks the candidates, from an offset on, until one that is not retiring has answered or may have adopted the job. It
-// reports whether there was one.
+// handOver asks candidates, from an offset on, until the job has another owner or needs none, and reports whether that is so. A
+// VM that did not adopt the job, for instance because the store rejected it, has not kept what it was told of the job.
 func (s *Supervisor) handOver(ctx context.Context, args AdoptArgs, candidates []pool.VMName, offset int) bool {
-	for n := range candidates {
+	for n := range min(len(candidates), maxAdoptersAsked) {
 		if ctx.Err() != nil {
 			return false
 		}
 		vm := candidates[(offset+n)%len(candidates)]
 		err := s.call(ctx, vm, adoptTimeout, MethodAdopt, args, &HoldsReply{})
 		s.log.Info("job handed over", "job", args.Job, "to", vm, "progress", len(args.Progress), "err", err)
-		if err == nil || !strings.Contains(err.Error(), errRetiring.Error()) {
+		if err == nil || strings.Contains(err.Error(), errNotOwner.Error()) {
 			return true
 		}
 	}
--- a/internal/batch/handover_test.go
+++ b/internal/batch/handover_test.go
@@ -14,6 +14,7 @@
 	"rhubarbrudder/internal/pool"
 	"rhubarbrudder/internal/prompt"
 	"rhubarbrudder/internal/route"
+	"rhubarbrudder/internal/store"
 )
 
 // stubbornSlots never grants a slot and returns only after a delay when the wait is cancelled.
@@ -134,20 +135,32 @@
 	}
 }
 
-// TestHandOver checks which VM adopts a job of one that stops, and that a job that none adopts is kept for the next attempt.
+// TestHandOver checks which VM adopts a job of one that stops, with the progress of its items, and that a job that none adopts
+// is kept for the next attempt.
 func TestHandOver(t *testing.T) {
+	rejected := slices.Repeat([]error{store.ErrUnavailable}, 2*maxAdoptersAsked)
 	tests := map[string]struct {
-		// retiring are the other VMs that retire after they were asked whether they do.
+		// retiring are the other VMs that retire after they were asked whether they do, and unheard those whose answer to
+		// the adoption is lost.
 		retiring []string
+		unheard  []string
 		silent   []string
-		owner    string
-		kept     int
+		// faults are those of the store, and unreadable is how many reads of claims fail.
+		faults     []error
+		unreadable int
+		owner      string
+		kept       int
 	}{
-		"to the first":                     {owner: "b"},
-		"the first has begun to retire":    {retiring: []string{"b"}, owner: "c"},
-		"the first does not answer":        {silent: []string{"b"}, owner: "c"},
-		"all have begun to retire":         {retiring: []string{"b", "c"}, owner: "a", kept: 1},
-		"one retires, one does not answer": {retiring: []string{"b"}, silent: []string{"c"}, owner: "a", kept: 1},
+		"to the first":                       {owner: "b"},
+		"the first has begun to retire":      {retiring: []string{"b"}, owner: "c"},
+		"the first does not answer":          {silent: []string{"b"}, owner: "c"},
+		"all have begun to retire":           {retiring: []string{"b", "c"}, owner: "a", kept: 1},
+		"one retires, one does not answer":   {retiring: []string{"b"}, silent: []string{"c"}, owner: "a", kept: 1},
+		"the store rejects the first":        {faults: rejected[:1], owner: "c"},
+		"the store rejects all":              {faults: rejected, owner: "a", kept: 1},
+		"the first cannot read the store":    {unreadable: 1, owner: "c"},
+		"the answer of the first is lost":    {unheard: []string{"b"}, owner: "b"},
+		"the first adopts without an answer": {unheard: []string{"b"}, faults: []error{store.ErrUnknown}, owner: "b"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -159,6 +172,14 @@
 			}
 			a := managers["a"]
 			assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			made := Progress{
+				Item:     "j-0",
+				After:    7,
+				Output:   []byte("output"),
+				Events:   7,
+				Failures: 2,
+			}
+			owned(t, a, "j").savePartial(&made)
 			caller := slowCaller{
 				managers: managers,
 				delay:    map[string]time.Duration{},
@@ -166,32 +187,48 @@
 			for _, vm := range test.silent {
 				caller.delay[vm] = time.Minute
 			}
-			s := NewSupervisor(a, vmList{"a", "b", "c"}, lateRetirer{
+			s := NewSupervisor(a, vmList{"a", "b", "c"}, faultyAdopters{
 				slowCaller: caller,
 				retiring:   test.retiring,
+				unheard:    test.unheard,
 			}, func() bool { return true }, time.Minute, slog.New(slog.DiscardHandler))
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			s.HandOver(ctx, a.Retire())
+			handovers := a.Retire()
+			m.mu.Lock()
+			m.faults = test.faults
+			m.failingReads = map[store.Table]int{tableClaims: test.unreadable}
+			m.mu.Unlock()
+			assert.Equal(t, s.HandOver(ctx, handovers), 1-test.kept)
 			c, _, err := a.ledger.claim(context.Background(), "j")
 			assert.NilError(t, err)
 			assert.Equal(t, c.Owner, test.owner)
-			assert.Equal(t, len(a.Retire()), test.kept)
+			kept := a.Retire()
+			assert.Equal(t, len(kept), test.kept)
+			for _, args := range kept {
+				assert.DeepEqual(t, args.Progress, []Progress{made})
+			}
+			if test.kept == 0 {
+				assert.DeepEqual(t, owned(t, managers[test.owner], "j").progressOf("j-0"), made)
+			}
 		})
 	}
 }
 
-// lateRetirer calls managers, some of which retire when they are asked to adopt a job.
-type lateRetirer struct {
+// faultyAdopters calls managers. Some of them retire when they are asked to adopt a job, and the answers of others are lost.
+type faultyAdopters struct {
 	slowCaller
 	retiring []string
+	unheard  []string
 }
 
-func (c lateRetirer) Call(ctx context.Context, address, method string, args, reply any) error {
-	for _, vm := range c.retiring {
-		if vm == address && method == MethodAdopt {
-			c.managers[vm].Retire()
-		}
+func (c faultyAdopters) Call(ctx context.Context, address, method string, args, reply any) error {
+	if method == MethodAdopt && slices.Contains(c.retiring, address) {
+		c.managers[address].Retire()
+	}
+	err := c.slowCaller.Call(ctx, address, method, args, reply)
+	if method == MethodAdopt && slices.Contains(c.unheard, address) {
+		return context.DeadlineExceeded
 	}
-	return c.slowCaller.Call(ctx, address, method, args, reply)
+	return err
 }
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -173,6 +173,7 @@
 	if mgr.retiring {
 		mgr.stopped = append(mgr.stopped, AdoptArgs{
 			Job:      id,
+			Number:   c.Number,
 			Progress: progress,
 		})
 		return
--- a/internal/vm/drain.go
+++ b/internal/vm/drain.go
@@ -41,25 +41,29 @@
 // handOverUntil hands over the batch jobs that this VM owns again and again, because jobs may still be accepted while callers
 // are served, and a last time when all callers are answered.
 func (p *Process) handOverUntil(ctx context.Context, answered <-chan struct{}) {
+	pause := drainPoll
 	for last := false; !last; {
 		select {
 		case <-answered:
 			last = true
-		case <-time.After(drainPoll):
+		case <-time.After(pause):
+		}
+		pause = drainPoll
+		if !p.handOver(ctx) {
+			pause = handOverRetry
 		}
-		p.handOver(ctx)
 	}
 }
 
-// handOver transfers the batch jobs that this VM owns to other VMs.
-func (p *Process) handOver(ctx context.Context) {
+// handOver transfers the batch jobs that this VM owns to other VMs, and reports whether all of them have another owner now.
+func (p *Process) handOver(ctx context.Context) bool {
 	handovers := p.batchManager.Retire()
 	if len(handovers) == 0 {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	p.batchSupervisor.HandOver(ctx, handovers)
+	return p.batchSupervisor.HandOver(ctx, handovers) == len(handovers)
 }
 
 // serveReady answers the readiness checks of the load balancer.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -37,6 +37,8 @@
 	maxDrainTime = 7300 * time.Millisecond
 	// drainPoll is the time between the handovers of batch jobs during a shutdown.
 	drainPoll = 50 * time.Millisecond
+	// handOverRetry is the time until the next handover after one that failed, usually because of the store.
+	handOverRetry = 500 * time.Millisecond
 	// handOverTimeout bounds one handover of batch jobs, and lastHandOverTime how much longer than maxDrainTime the last one
 	// may take.
 	handOverTimeout  = 2 * time.Second
