forward: requests that may be repeated follow their route after a failure

Only requests that cannot have run followed their route. An idempotent one whose answer had broken off waited for the former service, which had lost its last entry, until its deadline (3.9 s in the test), and was answered 504.

Change: a request also moves if it may have run, but may run again by the new route too and its caller has received nothing. Ruled out: streams that have begun, as another service need not continue the same text.

Measured: TestBrokenRequestFollowsItsRoute failed in 1 of 3 cases before (the other two check that it stays where it must not run again) and passes.

--- a/internal/forward/acquire.go
+++ b/internal/forward/acquire.go
@@ -10,10 +10,10 @@
 	"rhubarbrudder/internal/route"
 )
 
-// acquire waits for a slot at the request's service. While the request cannot have run, it follows its route to another
+// acquire waits for a slot at the request's service. A request that may still run anywhere follows its route to another
 // service: the wait then ends with route.ErrMoved.
 func (s *serving) acquire(ctx context.Context) (*pool.Slot, error) {
-	if s.possibleRuns > 0 {
+	if s.possibleRuns > 0 && (s.started || !s.route.Repeatable()) {
 		return s.pools.Acquire(ctx, s.service, s.slotRequest())
 	}
 	ctx, release := s.routes.Watch(ctx, func(config *route.Config) bool {
@@ -35,13 +35,16 @@
 }
 
 // movedTo returns the route of the configuration by which the request goes to another service than at present, or nil. A
-// request whose route is gone keeps its service.
+// request keeps its service if its route is gone, or if it may have run and the route does not let it run again.
 func (s *serving) movedTo(config *route.Config) *route.Route {
 	path, _, _ := strings.Cut(s.call.Target, "?")
 	rt := config.Match(s.call.Host, path)
 	if rt == nil || rt.Kind != s.route.Kind || rt.Pick(string(s.meta.ID)) == s.service {
 		return nil
 	}
+	if s.possibleRuns > 0 && (!rt.Repeatable() || s.possibleRuns >= rt.Attempts) {
+		return nil
+	}
 	return rt
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -97,7 +97,7 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	route   *route.Route
-	// service is the one picked by the route's shares; it stays the same once the request may have run.
+	// service is the one picked by the route's shares; it stays the same once the answer has begun.
 	service route.Service
 	// meta.After is the id of the last event sent to the caller once the answer has begun.
 	meta    Meta
--- a/test/platform/moved_test.go
+++ b/test/platform/moved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +81,52 @@
 		})
 	}
 }
+
+// TestBrokenRequestFollowsItsRoute guards against requests whose answer broke off, and which may be sent again, that wait for the
+// service that their route has left.
+func TestBrokenRequestFollowsItsRoute(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		subnet int
+		// change changes the routes of the later configuration.
+		change func(online map[string]any)
+		status int
+	}{
+		"idempotent":                {subnet: 7, status: http.StatusOK},
+		"may not be repeated there": {subnet: 8, change: func(online map[string]any) { online["kind"] = "non_idempotent" }, status: http.StatusGatewayTimeout},
+		"no attempt is left there":  {subnet: 9, change: func(online map[string]any) { online["maxAttempts"] = 1 }, status: http.StatusGatewayTimeout},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			left := newEngineStandin("e1", 1, 40, eventInterval)
+			left.breakAtEvent.Store(20)
+			c := newPlatform(t, test.subnet, newEngineStandin("e0", 4, 5, eventInterval), left)
+			c.store.put("servers", "e1", map[string]any{
+				"service": "old", "address": c.address(102, portEngine), "zone": "a", "slots": 1, "state": "ready",
+			})
+			c.replaceRoutes(movable("old"))
+			c.startAll(2)
+			online := make(chan answer, 1)
+			go func() {
+				r := c.request(1, http.MethodPost, "/patient/x", "patient", "")
+				r.Header.Set("X-Deadline-Ms", "4000")
+				online <- doRequest(client, r)
+			}()
+			c.waitFor("the request runs", func() bool { return left.arrived() > 0 })
+			c.store.remove("servers", "e1")
+			c.waitFor("the request waits again", func() bool {
+				return strings.Contains(c.logs[1].String(), "msg=\"attempt failed\" id=patient")
+			})
+			later := movable("llm")
+			if test.change != nil {
+				test.change(later[1])
+			}
+			c.replaceRoutes(later)
+			got := <-online
+			assert.Equal(t, got.status, test.status)
+			assert.Equal(t, left.arrived(), 1)
+			assert.Equal(t, c.engines[0].arrived() == 1, test.status == http.StatusOK)
+		})
+	}
+}
