batch: crashes of endpoints at an item end with its next event for all owners

The claim kept the old number, also over a handover that told of zero, so that the next owner paused the item for up to a minute at its next failure.

Change: the claim follows, without a wait; what a VM hands over counts, also if it is zero.

Measured: TestCrashesEndWithAnEvent failed in 2 of 2 cases before and passes.

--- a/internal/batch/attempts.go
+++ b/internal/batch/attempts.go
@@ -74,11 +74,12 @@
 		merged = map[ItemID]attempts{}
 	}
 	for _, p := range progress {
-		if p.Failures == 0 && p.Crashes == 0 {
+		made, known := merged[p.Item]
+		if !known && p.Failures == 0 && p.Crashes == 0 {
 			continue
 		}
 		merged[p.Item] = attempts{
-			Failures: max(p.Failures, merged[p.Item].Failures),
+			Failures: max(p.Failures, made.Failures),
 			Crashes:  p.Crashes,
 		}
 	}
--- a/internal/batch/attempts_test.go
+++ b/internal/batch/attempts_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbrudder/internal/forward"
 	"rhubarbrudder/internal/store"
 )
 
@@ -44,6 +48,48 @@
 	}
 }
 
+// TestCrashesEndWithAnEvent guards against items that pause for crashes at which they have got on since: the next owner must not
+// count them.
+func TestCrashesEndWithAnEvent(t *testing.T) {
+	for name, stopped := range map[string]bool{
+		"owner stopped": true,
+		"owner killed":  false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryStore()
+			a := newManager(t, m, "a")
+			assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			j := owned(t, a, "j")
+			progress := Progress{
+				Item:    "j-0",
+				Crashes: 5,
+			}
+			j.savePartial(&progress)
+			j.noteAttempts(&progress)
+			time.Sleep(50 * time.Millisecond)
+			c, _, err := a.ledger.claim(context.Background(), "j")
+			assert.NilError(t, err)
+			assert.Equal(t, c.Attempts["j-0"].Crashes, 5)
+			_, watch := forward.NewWatchdog(context.Background(), time.Minute)
+			defer watch.Stop()
+			assert.NilError(t, j.readEvents(watch, &http.Response{
+				Body:          io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n")),
+				ContentLength: -1,
+			}, &progress, &answerTimes{}))
+			time.Sleep(50 * time.Millisecond)
+			args := AdoptArgs{
+				Job: "j",
+			}
+			if stopped {
+				args = a.Retire()[0]
+			}
+			b := newManager(t, m, "b")
+			assert.NilError(t, b.Adopt(context.Background(), args))
+			assert.Equal(t, owned(t, b, "j").progressOf("j-0").Crashes, 0)
+		})
+	}
+}
+
 // TestUncommittedResultIsHandedOver guards against items that run again at the next owner because their result was not
 // committed yet.
 func TestUncommittedResultIsHandedOver(t *testing.T) {
--- a/internal/batch/send.go
+++ b/internal/batch/send.go
@@ -146,8 +146,12 @@
 		progress.Output = append(progress.Output, event.Data...)
 		progress.After = event.ID
 		progress.Events++
+		crashed := progress.Crashes > 0
 		progress.Crashes = 0
 		j.savePartial(progress)
+		if crashed {
+			j.noteAttempts(progress)
+		}
 	}
 }
 
