batch: an item at which endpoints crash pauses for 16 s at most

From the seventh crash in a row on, an item paused for 32 s and more.

Change: the pause ends at 16 s. Within the 60 s that the users' routes allow, an item that crashes each endpoint is tried 8 times instead of 7 (2, 4, 8, 16, 16 s after the third; worked out, not played). Routes that allow hours try it nearly four times as often; endpoints are protected by the quarantine of prompt parts, which knows shared parts only.

Measured: TestItemIsNotPausedForLong failed before (32 s after 7 crashes) and passes.

--- a/internal/batch/attempts_test.go
+++ b/internal/batch/attempts_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// TestItemIsNotPausedForLong guards against items that wait, after a failure, longer than an item may beside idle endpoints.
+func TestItemIsNotPausedForLong(t *testing.T) {
+	const longest = 20 * time.Second
+	for _, failedAttempts := range []int{0, 1, 10, 100} {
+		for _, crashes := range []int{0, 1, crashesBeforeBackoff, 6, 7, 10, 100} {
+			pause := itemBackoff(failedAttempts, crashes)
+			assert.Assert(t, pause > 0 && pause < longest, "%v after %d failed attempts and %d crashes", pause, failedAttempts, crashes)
+		}
+	}
+}
+
 // TestCrashesEndWithAnEvent guards against items that pause for crashes at which they have got on since: the next owner must not
 // count them.
 func TestCrashesEndWithAnEvent(t *testing.T) {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -26,10 +26,11 @@
 	// maxItemBackoff bounds the pause.
 	maxItemBackoff = time.Second
 	// crashesBeforeBackoff is how many endpoints may crash in a row under an item before it pauses for longer, with a
-	// pause that begins at initialCrashBackoff and doubles up to maxCrashBackoff.
+	// pause that begins at initialCrashBackoff and doubles up to maxCrashBackoff. That is below the 20 s after which an item
+	// that waits beside idle endpoints counts as lost.
 	crashesBeforeBackoff = 3
 	initialCrashBackoff  = 2 * time.Second
-	maxCrashBackoff      = time.Minute
+	maxCrashBackoff      = 16 * time.Second
 	// withheldPause is the time between the attempts to get a slot for an item while a part of its prompt is withheld.
 	withheldPause = 5 * time.Second
 	// routeTimeout is how long an item may have no matching route before it is declared dead. It is longer than a new
