batch, test: shorter functions; the rolling restart at four loads

No change of behaviour.

TestRollingRestartUnderBatchLoad also plays 5 and 15 jobs a second, and takes the number of rounds as a flag (-rolling.rounds) for longer runs by hand.

--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -134,33 +134,15 @@
 	failedAttempts := 0
 	withheld := false
 	for n := 0; ctx.Err() == nil; n++ {
-		config := j.manager.view.Current()
-		if config == nil {
-			// This VM has just started. That it knows no configuration yet does not mean that the route is gone.
-			sleep(ctx, retryPause)
-			continue
+		rt, giveUp := j.nextRoute(item, &progress, &noRouteSince)
+		if giveUp != "" {
+			j.finishItem(item, progress, StateDead, giveUp)
+			return
 		}
-		rt := config.Match(j.manifest.Host, item.Path)
 		if rt == nil {
-			if noRouteSince.IsZero() {
-				noRouteSince = time.Now()
-			}
-			if time.Since(noRouteSince) > routeTimeout {
-				j.finishItem(item, progress, StateDead, "route gone")
-				return
-			}
 			sleep(ctx, retryPause)
 			continue
 		}
-		noRouteSince = time.Time{}
-		if time.Now().After(j.abandonAt(rt)) {
-			j.finishItem(item, progress, StateDead, "too old")
-			return
-		}
-		if progress.Failures >= max(1, rt.Attempts) {
-			j.finishItem(item, progress, StateDead, errFailed.Error())
-			return
-		}
 		endpoint, err := j.attempt(ctx, item, rt, &progress, &avoid, n)
 		switch {
 		case err == nil:
@@ -186,6 +168,34 @@
 	}
 }
 
+// nextRoute returns the route by which an item runs next, or nil while it has to wait for one, or the reason to give the item up.
+// Only a configuration removes a route: a VM that has just started and knows none waits. The time noRouteSince is when the item was
+// first found to have no route, or zero.
+func (j *job) nextRoute(item *Item, progress *Progress, noRouteSince *time.Time) (rt *route.Route, giveUp string) {
+	config := j.manager.view.Current()
+	if config == nil {
+		return nil, ""
+	}
+	rt = config.Match(j.manifest.Host, item.Path)
+	if rt == nil {
+		if noRouteSince.IsZero() {
+			*noRouteSince = time.Now()
+		}
+		if time.Since(*noRouteSince) > routeTimeout {
+			return nil, "route gone"
+		}
+		return nil, ""
+	}
+	*noRouteSince = time.Time{}
+	switch {
+	case time.Now().After(j.abandonAt(rt)):
+		return nil, "too old"
+	case progress.Failures >= max(1, rt.Attempts):
+		return nil, errFailed.Error()
+	}
+	return rt, ""
+}
+
 // endFailedAttempt logs a failed attempt and prepares the progress for the next one.
 func (j *job) endFailedAttempt(ctx context.Context, item *Item, progress *Progress, endpoint inventory.ID, err error) {
 	if errors.Is(err, errTooMuchOutput) || errors.Is(err, errNoContinuation) {
--- a/internal/batch/send.go
+++ b/internal/batch/send.go
@@ -137,24 +137,32 @@
 		if progress.Events > 0 && event.ID != progress.After+1 {
 			return forward.ErrBroken
 		}
-		if len(progress.Output)+1+len(event.Data) > maxOutputBytes {
-			return errors.Join(forward.ErrBroken, errTooMuchOutput)
-		}
-		if progress.Events > 0 {
-			progress.Output = append(progress.Output, '\n')
-		}
-		progress.Output = append(progress.Output, event.Data...)
-		progress.After = event.ID
-		progress.Events++
-		crashed := progress.Crashes > 0
-		progress.Crashes = 0
-		j.savePartial(progress)
-		if crashed {
-			j.noteAttempts(progress)
+		if err := j.appendEvent(progress, event); err != nil {
+			return err
 		}
 	}
 }
 
+// appendEvent adds an event to the progress, which ends the crashes in a row at the item.
+func (j *job) appendEvent(progress *Progress, event forward.Event) error {
+	if len(progress.Output)+1+len(event.Data) > maxOutputBytes {
+		return errors.Join(forward.ErrBroken, errTooMuchOutput)
+	}
+	if progress.Events > 0 {
+		progress.Output = append(progress.Output, '\n')
+	}
+	progress.Output = append(progress.Output, event.Data...)
+	progress.After = event.ID
+	progress.Events++
+	crashed := progress.Crashes > 0
+	progress.Crashes = 0
+	j.savePartial(progress)
+	if crashed {
+		j.noteAttempts(progress)
+	}
+	return nil
+}
+
 // endOfAnswer returns the outcome of an answer that began when the item had so many events. If it had none to add, and only
 // the end of its connection marks its end, the endpoint may have crashed.
 func endOfAnswer(response *http.Response, before int, progress *Progress) error {
--- a/test/platform/rolling_test.go
+++ b/test/platform/rolling_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"flag"
 	"fmt"
 	"net/http"
 	"sync"
@@ -21,6 +22,8 @@
 	rollingLag = 2 * time.Second
 )
 
+var rollingRounds = flag.Int("rolling.rounds", 2, "how often TestRollingRestartUnderBatchLoad restarts each VM")
+
 // rolling plays a rolling restart under a load of streams and jobs.
 type rolling struct {
 	*cluster
@@ -36,9 +39,11 @@
 // in and are handed to them while they stop keep them busy. Each VM gets SIGTERM twice, and SIGHUP in between.
 func TestRollingRestartUnderBatchLoad(t *testing.T) {
 	t.Parallel()
-	const vms, rounds = 4, 2
+	const vms = 4
 	for name, jobsPerSecond := range map[string]int{
+		"5 jobs a second":  5,
 		"10 jobs a second": 10,
+		"15 jobs a second": 15,
 		"20 jobs a second": 20,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -48,7 +53,7 @@
 				engines = append(engines, newEngineStandin(fmt.Sprintf("e%d", n), 12, 30, 20*time.Millisecond))
 			}
 			r := &rolling{
-				cluster: newCluster(t, 111+jobsPerSecond/10, vms, engines...),
+				cluster: newCluster(t, 10+jobsPerSecond, vms, engines...),
 				stopped: map[int]time.Time{},
 			}
 			stop := make(chan struct{})
@@ -58,7 +63,7 @@
 				callers.Go(func() { every(vms*time.Second/time.Duration(jobsPerSecond), stop, func() { r.submit(vm) }) })
 			}
 			time.Sleep(2 * time.Second)
-			for range rounds {
+			for range *rollingRounds {
 				var restarts sync.WaitGroup
 				for vm := range vms {
 					restarts.Go(func() { r.restart(vm) })
