batch: a former owner's late write does not make an adoption look done

Cause: an adoption reads the claim and then replaces it. If a write of the stopping owner, sent before and late at the store, fell between the two, the VM that was asked answered that the job had another owner. The stopping VM then took the job as handed over and dropped the progress of its items.

Change: a claim that has changed but still has its owner is a conflict, which ends the adoption; the next candidate is asked.

Measured: TestHandOver failed in 1 of 11 cases before ("a late write of the former owner", new) and passes.

--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -75,7 +75,7 @@
 	for pause := retryPause; ; pause *= 2 {
 		written, err := mgr.tryTakeOver(ctx, id, revision, next)
 		uncertain = uncertain || errors.Is(err, store.ErrUnknown)
-		if err == nil || errors.Is(err, errNotOwner) || !uncertain {
+		if err == nil || errors.Is(err, errNotOwner) || errors.Is(err, store.ErrConflict) || !uncertain {
 			return written, err
 		}
 		mgr.log.Warn("attempt to adopt job failed", "job", id, "err", err)
@@ -86,6 +86,7 @@
 }
 
 // tryTakeOver makes one attempt to write the claim. If the claim has changed, an earlier attempt may have done that.
+// store.ErrConflict means that the former owner has written to the job and still owns it.
 func (mgr *Manager) tryTakeOver(ctx context.Context, id JobID, revision store.Revision, next claim) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
@@ -97,10 +98,13 @@
 	if err != nil {
 		return 0, err
 	}
-	if c.Owner != next.Owner || c.Incarnation != next.Incarnation || c.Number != next.Number {
-		return 0, errNotOwner
+	switch {
+	case c.Owner == next.Owner && c.Incarnation == next.Incarnation && c.Number == next.Number:
+		return current, nil
+	case current != 0 && c.Number < next.Number:
+		return 0, store.ErrConflict
 	}
-	return current, nil
+	return 0, errNotOwner
 }
 
 // retireTimeout bounds how long Retire waits for the jobs that it stops, which takes milliseconds. A job that takes longer is
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -25,6 +25,8 @@
 	failingReads map[store.Table]int
 	// late holds transactions that have not taken effect yet.
 	late []store.Transaction
+	// interrupting holds the address of a row that another writer writes again just before the next commit, or is nil.
+	interrupting *store.Address
 }
 
 func newMemoryStore() *memoryStore {
@@ -38,6 +40,7 @@
 func (m *memoryStore) Commit(_ context.Context, txn store.Transaction) (store.Commit, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.interrupt()
 	var fault error
 	if len(m.faults) > 0 {
 		fault, m.faults = m.faults[0], m.faults[1:]
@@ -56,6 +59,18 @@
 	return commit, err
 }
 
+// interrupt writes the row at interrupting again. The lock must be held.
+func (m *memoryStore) interrupt() {
+	if m.interrupting == nil {
+		return
+	}
+	m.revision++
+	row := m.rows[*m.interrupting]
+	row.Revision = m.revision
+	m.rows[*m.interrupting] = row
+	m.interrupting = nil
+}
+
 // apply applies a transaction. The lock must be held.
 func (m *memoryStore) apply(txn store.Transaction) (store.Commit, error) {
 	for _, expect := range txn.Expect {
--- a/internal/batch/handover_test.go
+++ b/internal/batch/handover_test.go
@@ -148,8 +148,10 @@
 		// faults are those of the store, and unreadable is how many reads of claims fail.
 		faults     []error
 		unreadable int
-		owner      string
-		kept       int
+		// writes means that a write of the former owner takes effect while the first adopts the job.
+		writes bool
+		owner  string
+		kept   int
 	}{
 		"to the first":                       {owner: "b"},
 		"the first has begun to retire":      {retiring: []string{"b"}, owner: "c"},
@@ -158,6 +160,7 @@
 		"one retires, one does not answer":   {retiring: []string{"b"}, silent: []string{"c"}, owner: "a", kept: 1},
 		"the store rejects the first":        {faults: rejected[:1], owner: "c"},
 		"the store rejects all":              {faults: rejected, owner: "a", kept: 1},
+		"a late write of the former owner":   {writes: true, owner: "c"},
 		"the first cannot read the store":    {unreadable: 1, owner: "c"},
 		"the answer of the first is lost":    {unheard: []string{"b"}, owner: "b"},
 		"the first adopts without an answer": {unheard: []string{"b"}, faults: []error{store.ErrUnknown}, owner: "b"},
@@ -198,6 +201,10 @@
 			m.mu.Lock()
 			m.faults = test.faults
 			m.failingReads = map[store.Table]int{tableClaims: test.unreadable}
+			if test.writes {
+				claimRow := address(tableClaims, "j")
+				m.interrupting = &claimRow
+			}
 			m.mu.Unlock()
 			assert.Equal(t, s.HandOver(ctx, handovers), 1-test.kept)
 			c, _, err := a.ledger.claim(context.Background(), "j")
