batch: only a batch route says how often an item may fail

Change: without a batch route, the number of the submission counts, which the manifest has always held. A batch route's present number counts as before.

--- a/internal/batch/attempts_test.go
+++ b/internal/batch/attempts_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrudder/internal/forward"
+	"rhubarbrudder/internal/route"
 	"rhubarbrudder/internal/store"
 )
 
@@ -48,6 +49,42 @@
 	}
 }
 
+// TestFailuresThatEndAnItem guards against items that are given up by the number of attempts of a route that is not for items.
+func TestFailuresThatEndAnItem(t *testing.T) {
+	tests := map[string]struct {
+		kind     route.Kind
+		attempts int
+		failures int
+		givenUp  bool
+	}{
+		"fewer than submitted with":       {kind: route.KindBatch, attempts: 3, failures: 2},
+		"as many":                         {kind: route.KindBatch, attempts: 3, failures: 3, givenUp: true},
+		"its route allows fewer now":      {kind: route.KindBatch, attempts: 2, failures: 2, givenUp: true},
+		"its route allows more now":       {kind: route.KindBatch, attempts: 4, failures: 3},
+		"a route for streams, one":        {kind: route.KindStream, attempts: 1, failures: 2},
+		"a route for streams, many":       {kind: route.KindStream, attempts: 9, failures: 3, givenUp: true},
+		"a route for requests, no number": {kind: route.KindOnce, failures: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			mgr := newManager(t, newMemoryStore(), "a")
+			mgr.sender = forward.NewSender(noPrompts{})
+			assert.NilError(t, mgr.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+			config := batchConfig()
+			config.Routes[0].Kind = test.kind
+			config.Routes[0].Attempts = test.attempts
+			mgr.view.Apply(config)
+			j := owned(t, mgr, "j")
+			progress := Progress{
+				Item:     "j-0",
+				Failures: test.failures,
+			}
+			_, reason := j.nextRoute(&j.items[0], &progress, &time.Time{})
+			assert.Equal(t, reason != "", test.givenUp, reason)
+		})
+	}
+}
+
 // TestItemIsNotPausedForLong guards against items that wait, after a failure, longer than an item may beside idle endpoints.
 func TestItemIsNotPausedForLong(t *testing.T) {
 	const longest = 20 * time.Second
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -93,8 +93,7 @@
 	// count from Submitted.
 	Window  time.Duration
 	Abandon time.Duration
-	// Attempts is that of the route when the job was submitted. It is stored but not used: runItem takes that of the
-	// current route.
+	// Attempts is that of the route when the job was submitted. It counts if the job has no batch route any more.
 	Attempts int
 	Items    []manifestItem
 	// Chunks is the number of rows that hold the items; zero means that an object holds them.
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -149,7 +149,7 @@
 			j.recordLength(rt.Pick(string(item.ID)), &progress)
 			j.finishItem(item, progress, StateSucceeded, "")
 			return
-		case errors.Is(err, errUnprocessable), progress.Failures >= max(1, rt.Attempts):
+		case errors.Is(err, errUnprocessable), progress.Failures >= j.maxFailures(rt):
 			j.finishItem(item, progress, StateDead, err.Error())
 			return
 		case errors.Is(err, errRevoked), errors.Is(err, route.ErrMoved), ctx.Err() != nil:
@@ -190,12 +190,21 @@
 	switch {
 	case time.Now().After(j.abandonAt(rt)):
 		return nil, "too old"
-	case progress.Failures >= max(1, rt.Attempts):
+	case progress.Failures >= j.maxFailures(rt):
 		return nil, errFailed.Error()
 	}
 	return rt, ""
 }
 
+// maxFailures returns how often an item may fail until it is given up: as often as its route allows now. If a route of another kind
+// has taken over the item's path, which says nothing about items, the number is that of the submission.
+func (j *job) maxFailures(rt *route.Route) int {
+	if rt.Kind != route.KindBatch {
+		return max(1, j.manifest.Attempts)
+	}
+	return max(1, rt.Attempts)
+}
+
 // endFailedAttempt logs a failed attempt and prepares the progress for the next one.
 func (j *job) endFailedAttempt(ctx context.Context, item *Item, progress *Progress, endpoint inventory.ID, err error) {
 	if errors.Is(err, errTooMuchOutput) || errors.Is(err, errNoContinuation) {
