batch: the supervisor leaves jobs to a VM that is handing them over

Cause: a VM that stops no longer ran its jobs, so that the supervisor found them without an owner after two scans, 1.4 s, and assigned them without the progress of their items, while the stopping VM was still trying to hand them over to VMs that the store rejected.

Change: a VM says that it holds a job for three seconds after it has stopped it, unless the job is handed over. Ruled out: as long as the process lives, 7.7 s at most, which is a large part of the 18 s in which jobs are due.

--- a/internal/batch/adopt.go
+++ b/internal/batch/adopt.go
@@ -141,9 +141,38 @@
 		handovers = append(handovers, j.handover())
 		delete(mgr.owned, j.id)
 	}
+	for _, args := range handovers {
+		if _, known := mgr.stoppedAt[args.Job]; !known {
+			mgr.stoppedAt[args.Job] = time.Now()
+		}
+	}
 	return handovers
 }
 
+// handOverTime is how long this VM has, after it has stopped a job, to hand it over with its progress. Then the supervisor assigns
+// it to another VM without.
+const handOverTime = 3 * time.Second
+
+// held returns the jobs that this VM runs or is handing over.
+func (mgr *Manager) held() []JobID {
+	ids := mgr.Owned()
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	for id, at := range mgr.stoppedAt {
+		if time.Since(at) < handOverTime {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// forget forgets a job that is handed over.
+func (mgr *Manager) forget(id JobID) {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	delete(mgr.stoppedAt, id)
+}
+
 // keep keeps jobs that could not be handed over for the next call of Retire.
 func (mgr *Manager) keep(handovers []AdoptArgs) {
 	mgr.mu.Lock()
--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -34,6 +34,7 @@
 			defer func() { <-slots }()
 			if s.handOver(ctx, args, candidates, i) {
 				adopted.Add(1)
+				s.manager.forget(args.Job)
 				return
 			}
 			s.log.Warn("job not handed over", "job", args.Job, "candidates", len(candidates))
--- a/internal/batch/handover_test.go
+++ b/internal/batch/handover_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -212,6 +213,9 @@
 			assert.Equal(t, c.Owner, test.owner)
 			kept := a.Retire()
 			assert.Equal(t, len(kept), test.kept)
+			var held HoldsReply
+			assert.NilError(t, NewService(a).Holds(HoldsArgs{}, &held))
+			assert.Equal(t, len(held.Jobs), test.kept)
 			for _, args := range kept {
 				assert.DeepEqual(t, args.Progress, []Progress{made})
 			}
@@ -222,6 +226,27 @@
 	}
 }
 
+// TestStoppedJobIsHeldForATime checks that a VM that stops has time to hand over a job with its progress before the supervisor
+// assigns it to another one without, and not more.
+func TestStoppedJobIsHeldForATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newManager(t, newMemoryStore(), "a")
+		assert.NilError(t, a.Accept(context.Background(), submission("j", 2, 10), jobRoute))
+		holds := func() []JobID {
+			var reply HoldsReply
+			assert.NilError(t, NewService(a).Holds(HoldsArgs{}, &reply))
+			return reply.Jobs
+		}
+		a.keep(a.Retire())
+		assert.DeepEqual(t, holds(), []JobID{"j"})
+		time.Sleep(handOverTime - time.Millisecond)
+		a.keep(a.Retire())
+		assert.DeepEqual(t, holds(), []JobID{"j"})
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, len(holds()), 0)
+	})
+}
+
 // faultyAdopters calls managers. Some of them retire when they are asked to adopt a job, and the answers of others are lost.
 type faultyAdopters struct {
 	slowCaller
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -64,6 +64,8 @@
 	// stopped holds what other VMs need to continue the jobs that this VM has stopped, or has not started because it is
 	// retiring, until they are handed over.
 	stopped []AdoptArgs
+	// stoppedAt holds when each job was stopped that is not handed over yet.
+	stoppedAt map[JobID]time.Time
 }
 
 // NewManager returns a Manager without jobs; the jobs that it runs stop when ctx ends.
@@ -82,6 +84,7 @@
 		baseCtx:   ctx,
 		owned:     map[JobID]*job{},
 		manifests: map[JobID]manifest{},
+		stoppedAt: map[JobID]time.Time{},
 	}
 }
 
--- a/internal/batch/supervisor.go
+++ b/internal/batch/supervisor.go
@@ -40,7 +40,7 @@
 // HoldsArgs asks a VM which jobs it runs.
 type HoldsArgs struct{}
 
-// HoldsReply lists the jobs that a VM's process runs. A retiring VM stops its jobs and adopts no others.
+// HoldsReply lists the jobs that a VM's process runs or is handing over. A retiring VM stops its jobs and adopts no others.
 type HoldsReply struct {
 	Incarnation roster.Incarnation
 	Jobs        []JobID
@@ -59,10 +59,10 @@
 	}
 }
 
-// Holds returns the jobs that this VM runs.
+// Holds returns the jobs that this VM runs or is handing over.
 func (s *Service) Holds(_ HoldsArgs, reply *HoldsReply) error {
 	reply.Incarnation = s.manager.self.Incarnation
-	reply.Jobs = s.manager.Owned()
+	reply.Jobs = s.manager.held()
 	s.manager.mu.Lock()
 	defer s.manager.mu.Unlock()
 	reply.Retiring = s.manager.retiring
--- a/test/platform/failure_test.go
+++ b/test/platform/failure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -128,3 +129,49 @@
 		})
 	}
 }
+
+// TestResultOutlivesARejectedHandover guards against items that run again because their owner stopped while the store rejected
+// calls, with a result that it had not committed.
+func TestResultOutlivesARejectedHandover(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		subnet int
+		fault  fault
+		// dead are the items that cannot be processed.
+		dead []string
+	}{
+		"cannot be processed, store rejects": {subnet: 56, fault: faultBusy, dead: []string{"j-item-0"}},
+		"cannot be processed, store resets":  {subnet: 57, fault: faultReset, dead: []string{"j-item-0"}},
+		"succeeded, store rejects":           {subnet: 58, fault: faultBusy},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newEngineStandin("e0", 4, 5, eventInterval)
+			c := newCluster(t, test.subnet, 3, e)
+			e.update(func(e *engineStandin) {
+				for _, id := range test.dead {
+					e.unprocessable[id] = true
+				}
+				e.onRun = func(string, string) {
+					c.store.setFault(func(_, path string) fault {
+						if path == "/rows-tx" {
+							return test.fault
+						}
+						return faultNone
+					})
+				}
+			})
+			assert.Equal(t, c.send(0, http.MethodPost, "/jobs/x", "j", jobBody("j", 1, "b", 10)).status, http.StatusAccepted)
+			c.waitFor("the owner has a result", func() bool {
+				return strings.Contains(c.logs[0].String(), "msg=\"item ended\"")
+			})
+			c.signal(0, syscall.SIGTERM)
+			time.Sleep(time.Second)
+			e.update(func(e *engineStandin) { e.onRun = nil })
+			c.store.setFault(nil)
+			c.waitResults(1, "j", 1, 5, test.dead...)
+			assert.Equal(t, e.get(func(e *engineStandin) int { return e.runs["j-item-0"] }), 1)
+		})
+	}
+}
