platform, vm: bodies of online requests are not decoded as jobs

Now only a body that names the field of a job's items within its first 4 KiB is decoded.

Measured: TestMayBeSubmission (7 cases) and TestJobOutlivesItsRoute pass. The time saved was not measured; no site of the users sends such bodies.

--- a/internal/vm/job.go
+++ b/internal/vm/job.go
@@ -83,7 +83,7 @@
 // confirmJob does the same for a request that goes to a route of another kind: if its body is that of a job, that route may
 // have taken over the path of the job's.
 func (f *front) confirmJob(w http.ResponseWriter, r *http.Request, body []byte) bool {
-	if !platform.MaySubmit(r) {
+	if !platform.MaySubmit(r) || !platform.MayBeSubmission(body) {
 		return false
 	}
 	submission, err := platform.DecodeSubmission(r, body)
