batch: the results of a job stay readable for a minute after its end

Change: a job is removed when it also has not been open for a minute, as far as the sweeping VM has seen. One more read of the claims in 30 s.

Measured: TestOldJobStaysReadable failed in 2 of 2 cases before and passes.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -362,3 +362,41 @@
 	_, err = mgr.Results(context.Background(), "done", 0, 1000)
 	assert.ErrorIs(t, err, ErrNotFound)
 }
+
+// TestOldJobStaysReadable guards against results that are removed as soon as they are complete, because their job was submitted
+// longer ago than the retention period.
+func TestOldJobStaysReadable(t *testing.T) {
+	const retention = time.Minute
+	for name, restarted := range map[string]bool{
+		"same supervisor": false,
+		"another one":     true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryStore()
+			mgr := newManager(t, m, "a")
+			sweep := func(after time.Duration) int {
+				m.clock += store.Clock(after.Milliseconds())
+				removed, err := mgr.sweep(context.Background(), retention)
+				assert.NilError(t, err)
+				return removed
+			}
+			assert.NilError(t, mgr.Accept(context.Background(), submission("j", 1, 10), jobRoute))
+			assert.Equal(t, sweep(retention+sweepGrace+time.Second), 0)
+			owned(t, mgr, "j").results <- Result{
+				Item:  "j-0",
+				State: StateSucceeded,
+			}
+			waitJobs(mgr)
+			if restarted {
+				mgr = newManager(t, m, "b")
+			}
+			assert.Equal(t, sweep(sweepPeriod), 0)
+			listing, err := mgr.Results(context.Background(), "j", 0, 1000)
+			assert.NilError(t, err)
+			assert.Equal(t, len(listing.Results), 1)
+			assert.Equal(t, sweep(closedTime-time.Second), 0)
+			assert.Equal(t, sweep(time.Second), 1)
+			assert.Equal(t, len(mgr.closedSince), 0)
+		})
+	}
+}
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -66,6 +66,8 @@
 	stopped []AdoptArgs
 	// stoppedAt holds when each job was stopped that is not handed over yet.
 	stoppedAt map[JobID]time.Time
+	// closedSince holds when sweep, which alone uses it, first found that a stored job is not open.
+	closedSince map[JobID]store.Clock
 }
 
 // NewManager returns a Manager without jobs; the jobs that it runs stop when ctx ends.
@@ -75,16 +77,17 @@
 		ledger: ledger{
 			store: s,
 		},
-		view:      view,
-		clients:   clients,
-		inventory: list,
-		sender:    sender,
-		log:       log,
-		lengths:   newLengthEstimator(),
-		baseCtx:   ctx,
-		owned:     map[JobID]*job{},
-		manifests: map[JobID]manifest{},
-		stoppedAt: map[JobID]time.Time{},
+		view:        view,
+		clients:     clients,
+		inventory:   list,
+		sender:      sender,
+		log:         log,
+		lengths:     newLengthEstimator(),
+		baseCtx:     ctx,
+		owned:       map[JobID]*job{},
+		manifests:   map[JobID]manifest{},
+		stoppedAt:   map[JobID]time.Time{},
+		closedSince: map[JobID]store.Clock{},
 	}
 }
 
--- a/internal/batch/sweep.go
+++ b/internal/batch/sweep.go
@@ -16,12 +16,15 @@
 	sweepPeriod = 30 * time.Second
 	// sweepGrace is added to the retention period for callers that read at the last moment.
 	sweepGrace = 30 * time.Second
+	// closedTime is how long a job that completes or ends after the retention period is still kept, so that its caller can
+	// read the last results.
+	closedTime = time.Minute
 	// maxSweepRows bounds the rows that a transaction removes, below the store's limit of 100.
 	maxSweepRows = 90
 )
 
-// sweep removes the jobs that are not open and were submitted longer ago than the retention period. It returns the
-// number of jobs removed.
+// sweep removes the jobs that were submitted longer ago than the retention period and have not been open for closedTime. It returns
+// the number of jobs removed.
 func (mgr *Manager) sweep(ctx context.Context, retention time.Duration) (int, error) {
 	page, err := store.ReadAll(ctx, mgr.ledger.store, store.Range{
 		Table: tableJobs,
@@ -30,27 +33,62 @@
 	if err != nil {
 		return 0, err
 	}
+	// The claims are read after the jobs, so that none of these jobs counts as closed that has just been accepted.
+	claims, err := mgr.ledger.claims(ctx)
+	if err != nil {
+		return 0, err
+	}
+	mgr.noteClosed(page, claims)
 	removed := 0
 	for _, row := range page.Rows {
+		id := JobID(row.Address.Key)
+		closed, isClosed := mgr.closedSince[id]
+		if !isClosed || elapsed(closed, page.Clock) < closedTime {
+			continue
+		}
 		var m manifest
 		if err := json.Unmarshal(row.Value, &m); err != nil {
-			return removed, oops.In("batch").With("job", row.Address.Key).Wrap(err)
+			return removed, oops.In("batch").With("job", id).Wrap(err)
 		}
-		age := time.Duration(page.Clock-m.Submitted) * time.Millisecond
-		if age <= retention+sweepGrace {
+		if elapsed(m.Submitted, page.Clock) <= retention+sweepGrace {
 			continue
 		}
-		deleted, err := mgr.remove(ctx, JobID(row.Address.Key), m)
+		deleted, err := mgr.remove(ctx, id, m)
 		if err != nil {
 			return removed, err
 		}
 		if deleted {
+			delete(mgr.closedSince, id)
 			removed++
 		}
 	}
 	return removed, nil
 }
 
+// noteClosed records which of the stored jobs are not open, and since when as far as this VM knows.
+func (mgr *Manager) noteClosed(jobs, claims store.Page) {
+	open := map[store.Key]bool{}
+	for _, row := range claims.Rows {
+		open[row.Address.Key] = true
+	}
+	closed := make(map[JobID]store.Clock, len(jobs.Rows))
+	for _, row := range jobs.Rows {
+		id := JobID(row.Address.Key)
+		if open[row.Address.Key] {
+			continue
+		}
+		closed[id] = jobs.Clock
+		if since, known := mgr.closedSince[id]; known {
+			closed[id] = since
+		}
+	}
+	mgr.closedSince = closed
+}
+
+func elapsed(from, to store.Clock) time.Duration {
+	return time.Duration(to-from) * time.Millisecond
+}
+
 // remove removes a job unless it is open. The manifest is removed last, so that the next sweep completes an interrupted
 // removal.
 func (mgr *Manager) remove(ctx context.Context, id JobID, m manifest) (bool, error) {
