pool: VMs that are gone for good do not split the stewards

An election asked four candidates; suspicions end after a second. Five such VMs above all others kept the living ones from returning to one steward, and with twelve each was its own steward.

Change: an election asks 16 times as many candidates each time that none answers. A VM that looks for a better steward asks up to four. Repeated suspicions are logged once a minute. Ruled out: longer suspicions, as VMs that suspect different ones choose different stewards; removing the rows needs VMs that notice it and write theirs again, and is left open.

--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -25,11 +25,16 @@
 	callSlack = 120 * time.Millisecond
 	// suspectFor is how long a VM that failed as the steward is not elected again.
 	suspectFor = time.Second
+	// suspectLogPause is how long a VM that is suspected again and again is not logged again.
+	suspectLogPause = time.Minute
 	// notReadyFor is how long a VM that is still loading the endpoints after its start is not elected again. It is also
 	// the pause before this VM tries itself again as the steward.
 	notReadyFor = 30 * time.Millisecond
-	// maxProbes is how many VMs are pinged at once when a steward is chosen.
+	// maxProbes is how many VMs are pinged at once, at first, when a steward is chosen.
 	maxProbes = 4
+	// probeGrowth is the factor by which that number grows as long as none answers. A VM that is cut off from all others is
+	// its own steward after a few rounds of callSlack.
+	probeGrowth = 16
 	// probeGrace is how long the pings of higher-ranked VMs are waited for once another VM has answered: several
 	// round trips between failure domains.
 	probeGrace = 20 * time.Millisecond
--- a/internal/pool/client_test.go
+++ b/internal/pool/client_test.go
@@ -226,6 +226,59 @@
 	}
 }
 
+// TestVMsThatAreGoneForGood guards against VMs that each grant slots on their own because the VMs that rank highest, and are still
+// listed, no longer exist.
+func TestVMsThatAreGoneForGood(t *testing.T) {
+	const live = 5
+	for name, gone := range map[string]int{
+		"one":    1,
+		"five":   5,
+		"twelve": 12,
+		"many":   150,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer func() {
+					cancel()
+					time.Sleep(time.Minute)
+				}()
+				f := newFleet(gone+live, 4, "e")
+				var clients []*Client
+				for _, m := range f.ranked[:gone] {
+					f.silent[m.VM] = true
+				}
+				for _, m := range f.ranked[gone:] {
+					clients = append(clients, f.client(ctx, m.VM))
+				}
+				steward := func(want VMName) bool {
+					for _, c := range clients {
+						if c.Steward() != want {
+							return false
+						}
+					}
+					return true
+				}
+				time.Sleep(3 * time.Second)
+				first, second := f.ranked[gone].VM, f.ranked[gone+1].VM
+				for range 100 {
+					assert.Assert(t, steward(first))
+					time.Sleep(100 * time.Millisecond)
+				}
+				f.set(func(f *fleet) { f.silent[first] = true })
+				time.Sleep(3 * time.Second)
+				for _, c := range clients[1:] {
+					assert.Equal(t, c.Steward(), second)
+				}
+				f.set(func(f *fleet) { f.silent[first] = false })
+				for since := time.Now(); !steward(first); time.Sleep(100 * time.Millisecond) {
+					assert.Assert(t, time.Since(since) < 3*time.Minute, "VMs have not returned to the first steward")
+				}
+			})
+		})
+	}
+}
+
 // TestNewStewardKnowsWhatRuns checks that slots granted by a lost steward still count at the next one.
 func TestNewStewardKnowsWhatRuns(t *testing.T) {
 	simulateFleet(t, 3, 1, func(ctx context.Context, f *fleet, clients []*Client) {
--- a/internal/pool/elect.go
+++ b/internal/pool/elect.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -24,12 +26,26 @@
 	return unsuspected
 }
 
-// elect pings the highest-ranked candidates concurrently, as some may have failed without notice, and returns the
-// highest-ranked one that answers, or this VM if none does.
+// elect returns the highest-ranked VM that answers, or this VM if none does. It pings the first candidates concurrently, as some may
+// have failed without notice, and many more each time that none of them answers: VMs that no longer exist stay listed, and are
+// suspected for a short time only.
 func (c *Client) elect(ctx context.Context) Member {
-	candidates := c.candidates()
-	candidates = candidates[:min(maxProbes, len(candidates))]
-	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	for probes := maxProbes; ctx.Err() == nil; probes *= probeGrowth {
+		candidates := c.candidates()
+		if steward, found := c.firstToAnswer(ctx, candidates[:min(probes, len(candidates))]); found {
+			return steward
+		}
+		if len(candidates) <= probes {
+			break
+		}
+	}
+	return c.self
+}
+
+// firstToAnswer pings candidates concurrently and returns the highest-ranked one that answers. Those that rank higher are
+// suspected.
+func (c *Client) firstToAnswer(parent context.Context, candidates []Member) (steward Member, found bool) {
+	ctx, cancel := context.WithTimeout(parent, callSlack)
 	defer cancel()
 	// results[i] receives the result of the ping of candidates[i].
 	results := make([]chan error, len(candidates))
@@ -59,6 +75,9 @@
 	for i, m := range candidates {
 		errs[m.VM] = answerWithin(results[i], grace)
 	}
+	if parent.Err() != nil {
+		return Member{}, false
+	}
 	// The replies tell the uptimes, which may change the ranking.
 	for _, m := range c.candidates() {
 		err, pinged := errs[m.VM]
@@ -66,11 +85,11 @@
 			continue
 		}
 		if err == nil {
-			return m
+			return m, true
 		}
 		c.suspect(m.VM, err)
 	}
-	return c.self
+	return Member{}, false
 }
 
 // answerWithin returns the result of a ping, or errSlow if there is none when the grace period ends.
@@ -143,7 +162,12 @@
 	if strings.Contains(err.Error(), ErrNotReady.Error()) {
 		exclusion = notReadyFor
 	}
-	c.suspects[vm] = time.Now().Add(exclusion)
+	now := time.Now()
+	known := now.Sub(c.suspects[vm]) < suspectLogPause && vm != c.steward
+	c.suspects[vm] = now.Add(exclusion)
+	if known {
+		return
+	}
 	// The key rest_ms is how long the VM is not elected.
 	c.log.Warn("steward lost", "service", c.service, "steward", vm, "rest_ms", exclusion.Milliseconds(), "err", err)
 }
@@ -160,17 +184,23 @@
 	}
 }
 
-// outranked reports whether a VM with a higher rank than the steward can hold the pool.
+// outranked reports whether a VM with a higher rank than the steward can hold the pool. It pings the first such VM and some of the
+// others, as many of them may no longer exist.
 func (c *Client) outranked(ctx context.Context, steward Member) bool {
-	best := c.candidates()[0]
-	if best.VM == steward.VM {
+	better := c.candidates()
+	n := slices.IndexFunc(better, func(m Member) bool {
+		return m.VM == steward.VM
+	})
+	if n >= 0 {
+		better = better[:n]
+	}
+	if len(better) == 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, callSlack)
-	defer cancel()
-	err := c.ping(ctx, best)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		c.suspect(best.VM, err)
-	}
-	return err == nil
+	others := better[1:]
+	rand.Shuffle(len(others), func(i, k int) {
+		others[i], others[k] = others[k], others[i]
+	})
+	_, found := c.firstToAnswer(ctx, better[:min(maxProbes, len(better))])
+	return found
 }
