batch: a stopping VM asks more VMs to adopt its jobs while none answers

The 16 VMs that a stopping VM asks since may all be gone for good and still listed. It now asks more of them until one answers.

Measured: TestAdopterAmongVMsThatAreGone (200 of 201 listed VMs gone) failed before and passes.

--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -15,8 +15,10 @@
 const (
 	// maxHandovers bounds how many jobs are handed over at once.
 	maxHandovers = 4
-	// maxAdopters bounds the VMs among which the jobs are distributed.
-	maxAdopters = 16
+	// maxAdopters bounds the VMs among which the jobs are distributed, as long as one of them answers; adopterGrowth is the
+	// factor by which it grows each time that none does.
+	maxAdopters   = 16
+	adopterGrowth = 4
 	// maxAdoptersAsked bounds the VMs that are asked to adopt one job until the next call of HandOver.
 	maxAdoptersAsked = 3
 )
@@ -45,26 +47,34 @@
 	return int(adopted.Load())
 }
 
-// adopters returns some of the other VMs that answer and are not retiring.
+// adopters returns some of the other VMs that answer and are not retiring. It asks more and more until there is one, as VMs that no
+// longer exist stay listed.
 func (s *Supervisor) adopters(ctx context.Context) []pool.VMName {
-	var names []pool.VMName
+	var others []pool.VMName
 	for _, vm := range s.roster.All() {
 		if vm.Name != s.manager.self.Name {
-			names = append(names, vm.Name)
+			others = append(others, vm.Name)
 		}
 	}
-	rand.Shuffle(len(names), func(i, k int) {
-		names[i], names[k] = names[k], names[i]
+	rand.Shuffle(len(others), func(i, k int) {
+		others[i], others[k] = others[k], others[i]
 	})
-	others := map[pool.VMName]bool{}
-	for _, name := range names[:min(len(names), maxAdopters)] {
-		others[name] = true
+	for n := maxAdopters; len(others) > 0 && ctx.Err() == nil; n *= adopterGrowth {
+		n = min(n, len(others))
+		asked := map[pool.VMName]bool{}
+		for _, name := range others[:n] {
+			asked[name] = true
+		}
+		answers := s.queryOwners(ctx, asked, queryTimeout)
+		maps.DeleteFunc(answers, func(_ pool.VMName, holds HoldsReply) bool {
+			return holds.Retiring
+		})
+		if len(answers) > 0 {
+			return slices.Sorted(maps.Keys(answers))
+		}
+		others = others[n:]
 	}
-	answers := s.queryOwners(ctx, others, queryTimeout)
-	maps.DeleteFunc(answers, func(_ pool.VMName, holds HoldsReply) bool {
-		return holds.Retiring
-	})
-	return slices.Sorted(maps.Keys(answers))
+	return nil
 }
 
 // handOver asks candidates, from an offset on, until the job has another owner or needs none, and reports whether that is so. A
--- a/internal/batch/handover_test.go
+++ b/internal/batch/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -226,6 +227,33 @@
 	}
 }
 
+// TestAdopterAmongVMsThatAreGone guards against jobs that are not handed over because most of the VMs that are listed no longer
+// exist.
+func TestAdopterAmongVMsThatAreGone(t *testing.T) {
+	const gone = 200
+	m := newMemoryStore()
+	managers := map[string]*Manager{
+		"a": newManager(t, m, "a"),
+		"b": newManager(t, m, "b"),
+	}
+	listed := vmList{"a", "b"}
+	delay := map[string]time.Duration{}
+	for n := range gone {
+		name := fmt.Sprintf("gone-%d", n)
+		listed = append(listed, pool.VMName(name))
+		delay[name] = time.Minute
+	}
+	assert.NilError(t, managers["a"].Accept(context.Background(), submission("j", 2, 10), jobRoute))
+	s := NewSupervisor(managers["a"], listed, slowCaller{
+		managers: managers,
+		delay:    delay,
+	}, func() bool { return true }, time.Minute, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	assert.Equal(t, s.HandOver(ctx, managers["a"].Retire()), 1)
+	assert.DeepEqual(t, managers["b"].Owned(), []JobID{"j"})
+}
+
 // TestStoppedJobIsHeldForATime checks that a VM that stops has time to hand over a job with its progress before the supervisor
 // assigns it to another one without, and not more.
 func TestStoppedJobIsHeldForATime(t *testing.T) {
