roster: rows of VMs that no longer exist are removed

Cause: a VM writes its row when it starts and nothing removed it.

Change: each minute, a steward looks for listed VMs that have not used it for ten minutes, and removes the row of one that does not answer either, unless the row has changed. A VM that finds its own row removed writes it again. Ruled out: heartbeats in the store, which would cost 2,000 writes each few seconds at the size that the users plan.

Measured: TestSweep (6 cases) and TestRemovedVMRegistersAgain (4) pass; there was no removal before. Not played with processes.

--- a/internal/pool/share.go
+++ b/internal/pool/share.go
@@ -65,3 +65,20 @@
 		e.allowance.setShare(share, now)
 	}
 }
+
+// VMs returns the VMs that use this one as the steward of a service.
+func (s *Stewards) VMs() map[VMName]bool {
+	vms := map[VMName]bool{}
+	for _, st := range s.all() {
+		st.addVMs(vms)
+	}
+	return vms
+}
+
+func (st *steward) addVMs(vms map[VMName]bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for vm := range st.sessions {
+		vms[vm] = true
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -66,6 +66,9 @@
 	started time.Time
 	clock   store.Clock
 	clockAt time.Time
+	// selfListed means that this VM's row has been read, and unlisted holds a token when it has been removed since.
+	selfListed bool
+	unlisted   chan struct{}
 }
 
 type entry struct {
@@ -80,9 +83,10 @@
 func New(self VM, log *slog.Logger) *Roster {
 	now := time.Now()
 	return &Roster{
-		self:    self,
-		log:     log,
-		started: now,
+		self:     self,
+		log:      log,
+		started:  now,
+		unlisted: make(chan struct{}, 1),
 		vms: map[pool.VMName]entry{
 			self.Name: {
 				vm:        self,
@@ -92,6 +96,18 @@
 	}
 }
 
+// KeepRegistered writes this VM's row to the store, and again whenever it has been removed, until ctx ends.
+func (r *Roster) KeepRegistered(ctx context.Context, s store.Store) {
+	for ctx.Err() == nil {
+		r.Register(ctx, s)
+		select {
+		case <-ctx.Done():
+		case <-r.unlisted:
+			r.log.Warn("row of this vm removed, writing it again", "vm", r.self.Name)
+		}
+	}
+}
+
 // Register writes this VM's row to the store, and retries until it succeeds or ctx ends.
 func (r *Roster) Register(ctx context.Context, s store.Store) {
 	for ctx.Err() == nil {
@@ -183,6 +199,11 @@
 	}
 	r.mu.Lock()
 	r.loaded = true
+	selfRow := false
+	for _, row := range rows {
+		selfRow = selfRow || pool.VMName(row.Address.Key) == r.self.Name
+	}
+	r.noteSelf(selfRow)
 	for name := range r.vms {
 		if !listed[name] {
 			delete(r.vms, name)
@@ -201,9 +222,24 @@
 	}
 }
 
+// noteSelf records whether the table has this VM's row. The lock must be held.
+func (r *Roster) noteSelf(listed bool) {
+	if r.selfListed && !listed {
+		select {
+		case r.unlisted <- struct{}{}:
+		default:
+		}
+	}
+	r.selfListed = listed
+}
+
 func (r *Roster) change(row store.Row) {
 	name := pool.VMName(row.Address.Key)
-	if name == r.self.Name || r.vms[name].revision > row.Revision {
+	if name == r.self.Name {
+		r.noteSelf(!row.Deleted)
+		return
+	}
+	if r.vms[name].revision > row.Revision {
 		return
 	}
 	if row.Deleted {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -103,6 +103,20 @@
 }
 
 func (s *fakeStore) Commit(_ context.Context, txn store.Transaction) (store.Commit, error) {
+	for _, expect := range txn.Expect {
+		if s.rows[expect.Address.Key].Revision != expect.Revision {
+			return store.Commit{}, store.ErrConflict
+		}
+	}
+	for _, address := range txn.Remove {
+		s.revision++
+		delete(s.rows, address.Key)
+		s.written(store.Row{
+			Address:  address,
+			Revision: s.revision,
+			Deleted:  true,
+		})
+	}
 	for _, put := range txn.Put {
 		s.revision++
 		row := store.Row{
@@ -199,3 +213,116 @@
 	r.Replace(nil)
 	assert.Equal(t, r.Size(), 1)
 }
+
+// fixedPeers are Peers of which some use this VM as a steward and some answer.
+type fixedPeers struct {
+	present map[pool.VMName]bool
+	answers map[pool.VMName]bool
+}
+
+func (p fixedPeers) Present() map[pool.VMName]bool { return p.present }
+
+func (p fixedPeers) Answers(_ context.Context, vm VM) bool { return p.answers[vm.Name] }
+
+// TestSweep guards against rows of VMs that no longer exist, of which elections ask more and more, and against the removal of VMs
+// that exist.
+func TestSweep(t *testing.T) {
+	tests := map[string]struct {
+		present []pool.VMName
+		answers []pool.VMName
+		// restarted means that the VM b writes its row again in time.
+		restarted bool
+		after     time.Duration
+		removed   bool
+	}{
+		"gone":                         {present: []pool.VMName{"c"}, after: absentTime + 2*sweepPeriod, removed: true},
+		"gone for a short time":        {present: []pool.VMName{"c"}, after: absentTime},
+		"present":                      {present: []pool.VMName{"b", "c"}, after: 3 * absentTime},
+		"uses another steward":         {present: []pool.VMName{"c"}, answers: []pool.VMName{"b"}, after: 3 * absentTime},
+		"this VM is no steward":        {after: 3 * absentTime},
+		"started again in the instant": {present: []pool.VMName{"c"}, restarted: true, after: absentTime + 2*sweepPeriod},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := New(VM{Name: "a", Address: "a"}, slog.New(slog.DiscardHandler))
+				s := &fakeStore{
+					started: time.Now(),
+					rows:    map[store.Key]store.Row{},
+				}
+				s.written = func(row store.Row) { r.Change([]store.Row{row}) }
+				for _, vm := range []pool.VMName{"b", "c"} {
+					_, err := s.Commit(t.Context(), store.Transaction{Put: []store.Put{{
+						Address: store.Address{Table: Table, Key: store.Key(vm)},
+						Value:   vmRow(t, VM{Name: vm, Incarnation: "1", Address: string(vm)}, 0).Value,
+					}}})
+					assert.NilError(t, err)
+				}
+				if test.restarted {
+					// The roster has not heard of it yet.
+					row := s.rows["b"]
+					row.Revision = 99
+					s.rows["b"] = row
+				}
+				peers := fixedPeers{
+					present: map[pool.VMName]bool{},
+					answers: map[pool.VMName]bool{},
+				}
+				for _, vm := range test.present {
+					peers.present[vm] = true
+				}
+				for _, vm := range test.answers {
+					peers.answers[vm] = true
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go r.Sweep(ctx, s, peers)
+				time.Sleep(test.after)
+				cancel()
+				_, listed := s.rows["b"]
+				assert.Equal(t, listed, !test.removed)
+				_, known := r.Get("b")
+				assert.Equal(t, known, !test.removed)
+				assert.Equal(t, len(s.rows), map[bool]int{true: 1, false: 2}[test.removed])
+			})
+		})
+	}
+}
+
+// TestRemovedVMRegistersAgain checks that a VM whose row is removed, or missing from the whole table, writes it again, and that it
+// writes it once otherwise.
+func TestRemovedVMRegistersAgain(t *testing.T) {
+	tests := map[string]struct {
+		remove func(r *Roster)
+		writes int
+	}{
+		"not removed":        {remove: func(*Roster) {}, writes: 1},
+		"removed":            {remove: func(r *Roster) { r.Change([]store.Row{{Address: store.Address{Key: "a"}, Deleted: true, Revision: 9}}) }, writes: 2},
+		"not in the table":   {remove: func(r *Roster) { r.Replace(nil) }, writes: 2},
+		"another is removed": {remove: func(r *Roster) { r.Change([]store.Row{{Address: store.Address{Key: "b"}, Deleted: true, Revision: 9}}) }, writes: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := New(VM{Name: "a", Address: "a"}, slog.New(slog.DiscardHandler))
+				writes := 0
+				s := &fakeStore{
+					started: time.Now(),
+					rows:    map[store.Key]store.Row{},
+				}
+				s.written = func(row store.Row) {
+					writes++
+					r.Change([]store.Row{row})
+				}
+				// The table is read before the VM has written its row.
+				r.Replace(nil)
+				ctx, cancel := context.WithCancel(t.Context())
+				go r.KeepRegistered(ctx, s)
+				time.Sleep(time.Second)
+				test.remove(r)
+				time.Sleep(time.Second)
+				cancel()
+				assert.Equal(t, writes, test.writes)
+			})
+		})
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -335,8 +335,13 @@
 		p.connReaper.run,
 		p.exchange.run,
 		func(ctx context.Context) {
-			p.roster.Register(ctx, p.store)
-			<-ctx.Done()
+			p.roster.KeepRegistered(ctx, p.store)
+		},
+		func(ctx context.Context) {
+			p.roster.Sweep(ctx, p.store, presence{
+				stewards: p.stewards,
+				caller:   p.pools.caller,
+			})
 		},
 	} {
 		ctx, cancel := context.WithCancel(p.baseCtx)
