test: VMs that start beside many that are gone agree on one steward

TestVMsLostForGood runs 18 VMs, stops 14 of them with SIGSTOP, each time the one that is the steward, and starts the other four again.

--- a/test/platform/online_test.go
+++ b/test/platform/online_test.go
@@ -424,3 +424,51 @@
 	})
 	assert.Equal(t, (<-got).body, wholeStream("r", 20))
 }
+
+// TestVMsLostForGood guards against VMs that each choose themselves as the steward once the VMs that rank highest, and are still
+// listed, no longer exist.
+func TestVMsLostForGood(t *testing.T) {
+	t.Parallel()
+	const vms, lost = 18, 14
+	c := newCluster(t, 59, vms, newEngineStandin("e0", 4, 5, eventInterval))
+	live := map[int]bool{}
+	for vm := range vms {
+		live[vm] = true
+	}
+	// agreed returns the steward of all living VMs, or -1 if they have several.
+	agreed := func() int {
+		steward := -1
+		for vm := range live {
+			if chosen := c.steward(vm); steward >= 0 && chosen != steward || !live[chosen] {
+				return -1
+			} else {
+				steward = chosen
+			}
+		}
+		return steward
+	}
+	for range lost {
+		c.waitFor("one steward", func() bool { return agreed() >= 0 })
+		// A VM without power does not refuse connections.
+		steward := agreed()
+		c.signal(steward, syscall.SIGSTOP)
+		delete(live, steward)
+	}
+	for vm := range live {
+		c.signal(vm, syscall.SIGKILL)
+		c.waitExit(vm)
+		c.start(vm)
+	}
+	for vm := range live {
+		c.waitReady(vm)
+	}
+	time.Sleep(5 * time.Second)
+	for n := range 20 {
+		assert.Assert(t, agreed() >= 0, "several stewards")
+		for vm := range live {
+			got := c.send(vm, http.MethodPost, "/once/x", fmt.Sprintf("%d-%d", vm, n), "")
+			assert.Equal(t, got.status, http.StatusOK)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
