roster: a VM that reaches no other one removes no rows

Cause, seen while reading the change: a VM that is cut off from all others but reaches the store is its own steward, and would have removed the rows of all others after ten minutes; each of them would have written its row again.

Change: rows are removed only by a VM that another one uses as a steward.

Measured: TestSweep failed in 1 of 7 cases before ("this VM reaches no other one", new) and passes.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -240,6 +240,7 @@
 		"present":                      {present: []pool.VMName{"b", "c"}, after: 3 * absentTime},
 		"uses another steward":         {present: []pool.VMName{"c"}, answers: []pool.VMName{"b"}, after: 3 * absentTime},
 		"this VM is no steward":        {after: 3 * absentTime},
+		"this VM reaches no other one": {present: []pool.VMName{"a"}, after: 3 * absentTime},
 		"started again in the instant": {present: []pool.VMName{"c"}, restarted: true, after: absentTime + 2*sweepPeriod},
 	}
 	for name, test := range tests {
--- a/internal/roster/sweep.go
+++ b/internal/roster/sweep.go
@@ -20,7 +20,7 @@
 
 // Peers tells which other VMs are running.
 type Peers interface {
-	// Present returns the VMs that use this one as a steward. It returns none if this VM is not a steward.
+	// Present returns the VMs that use this one as a steward, itself included. It returns none if this VM is not a steward.
 	Present() map[pool.VMName]bool
 	// Answers reports whether the process of a VM answers a call.
 	Answers(ctx context.Context, vm VM) bool
@@ -52,11 +52,11 @@
 func (r *Roster) absent(before map[pool.VMName]time.Time, present map[pool.VMName]bool) map[pool.VMName]time.Time {
 	now := time.Now()
 	after := map[pool.VMName]time.Time{}
-	if len(present) == 0 {
-		return after
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.reachesOthers(present) {
+		return after
+	}
 	for name := range r.vms {
 		if name == r.self.Name || present[name] {
 			continue
@@ -69,6 +69,17 @@
 	return after
 }
 
+// reachesOthers reports whether a VM other than this one is present. A VM that is cut off, or is not a steward, cannot tell which
+// others exist.
+func (r *Roster) reachesOthers(present map[pool.VMName]bool) bool {
+	for name := range present {
+		if name != r.self.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // removeAbsent removes the row of a VM that does not answer, unless the row changes meanwhile.
 func (r *Roster) removeAbsent(ctx context.Context, s store.Store, peers Peers, name pool.VMName) {
 	r.mu.Lock()
--- a/internal/vm/job.go
+++ b/internal/vm/job.go
@@ -80,8 +80,8 @@
 	return true
 }
 
-// confirmJob does the same for a request that goes to a route of another kind: if its body is that of a job, that route may
-// have taken over the path of the job's.
+// confirmJob confirms a job likewise if a route of another kind, by which the request would be forwarded, has taken over the path of
+// the job's route. It reports whether it answered the request.
 func (f *front) confirmJob(w http.ResponseWriter, r *http.Request, body []byte) bool {
 	if !platform.MaySubmit(r) || !platform.MayBeSubmission(body) {
 		return false
