KNOWN-RED: a VM that becomes ready in an election chooses itself

Traced by its log: the restarted VM found itself not ready, read the tables within the next millisecond and became its own steward, although it knew the others by then.

--- a/internal/pool/client_test.go
+++ b/internal/pool/client_test.go
@@ -352,3 +352,49 @@
 		}
 	})
 }
+
+// lateInventory is loaded from the second time on that it is asked, and calls loaded then.
+type lateInventory struct {
+	fixedInventory
+	asked  *int
+	loaded func()
+}
+
+func (l lateInventory) Loaded() bool {
+	*l.asked++
+	if *l.asked == 2 {
+		l.loaded()
+	}
+	return *l.asked >= 2
+}
+
+// TestVMThatBecomesReadyInAnElection guards against a VM that has just started and is its own steward, beside that of the others,
+// because it has read the tables between its election, in which it was not ready and knew no other VM, and its first update.
+func TestVMThatBecomesReadyInAnElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		f := newFleet(2, 4, "e")
+		all := f.ranked
+		others := f.client(ctx, "0")
+		time.Sleep(time.Second)
+		late := &fleet{
+			ranked:   all[1:],
+			stewards: f.stewards,
+			listed:   f.listed,
+		}
+		asked := 0
+		f.stewards["1"] = NewStewards(lateInventory{
+			fixedInventory: fixedInventory{list: endpoints(4, "e")},
+			asked:          &asked,
+			loaded:         func() { late.ranked = all },
+		}, f.listed["1"], slog.New(slog.DiscardHandler))
+		c := late.client(ctx, "1")
+		time.Sleep(rankingPeriod - time.Millisecond)
+		assert.Equal(t, others.Steward(), VMName("0"))
+		assert.Equal(t, c.Steward(), VMName("0"))
+	})
+}
