--- a/review/standin-2/plain.go
+++ b/review/standin-2/plain.go
@@ -58,7 +58,7 @@
 	}()
 	seeds := []string{fmt.Sprintf("%s:%d", ip(10), portControl), fmt.Sprintf("%s:%d", ip(11), portControl), fmt.Sprintf("%s:%d", ip(12), portControl)}
 	for i := range vms {
-		v, err := startVM(folder, fmt.Sprintf("front-%s-1", zones[i]), zones[i], ip(10+i), address, seeds, 0)
+		v, err := startVM(folder, fmt.Sprintf("front-%s-1", zones[i]), zones[i], ip(10+i), address, seeds, "")
 		if err != nil {
 			r.say("vm: %v", err)
 			return cannotRun
--- a/review/standin-2/silent.go
+++ b/review/standin-2/silent.go
@@ -50,7 +50,7 @@
 	}()
 	seeds := []string{fmt.Sprintf("%s:%d", ip(10), portControl), fmt.Sprintf("%s:%d", ip(11), portControl), fmt.Sprintf("%s:%d", ip(12), portControl)}
 	for i := range vms {
-		v, err := startVM(folder, fmt.Sprintf("front-%s-%d", zones[i%3], i/3+1), zones[i%3], ip(10+i), address, seeds, 0)
+		v, err := startVM(folder, fmt.Sprintf("front-%s-%d", zones[i%3], i/3+1), zones[i%3], ip(10+i), address, seeds, "")
 		if err != nil {
 			r.say("vm: %v", err)
 			return cannotRun
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -35,6 +36,8 @@
 	txTime  time.Duration
 	answer  time.Duration
 	txTurn  sync.Mutex
+	// rejected holds the hosts that get 503.
+	rejected map[string]bool
 }
 
 func newStore() *store {
@@ -100,7 +103,26 @@
 	_, _ = w.Write(data)
 }
 
+// reject turns the calls of a host away, or serves them again.
+func (s *store) reject(host string, rejected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rejected == nil {
+		s.rejected = map[string]bool{}
+	}
+	s.rejected[host] = rejected
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	rejected := s.rejected[from]
+	s.mu.Unlock()
+	if rejected {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(503)
+		return
+	}
 	switch path := r.URL.Path; {
 	case path == "/rows-tx":
 		s.transact(w, r)
--- a/review/standin-2/vm.go
+++ b/review/standin-2/vm.go
@@ -47,7 +47,7 @@
 }
 
 // startVM starts a process with the settings of a machine of the small deployment.
-func startVM(folder, name, zone, ip, storeAddress string, seeds []string, fds int) (*vmProcess, error) {
+func startVM(folder, name, zone, ip, storeAddress string, seeds []string, announce string) (*vmProcess, error) {
 	template, err := os.ReadFile("deploy/settings.jsonc")
 	if err != nil {
 		return nil, err
@@ -63,6 +63,10 @@
 		"platform": map[string]any{"address": storeAddress},
 		"bounds":   map[string]any{"statusTtlS": 120},
 	})
+	if announce != "" {
+		// docs/SETTINGS.md: "where other VMs call this one"; here a proxy.
+		text = strings.Replace(text, `"Secret"`, fmt.Sprintf(`"Announce": %q, "Secret"`, announce), 1)
+	}
 	file := filepath.Join(folder, name+".jsonc")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -72,9 +76,6 @@
 		return nil, err
 	}
 	command := exec.Command("target/rhubarbrudder-vm")
-	if fds > 0 {
-		command = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/rhubarbrudder-vm", fds))
-	}
 	command.Env = append(os.Environ(),
 		"RHUBARBRUDDER_CONFIG="+file,
 		`RHUBARBRUDDER_OVERRIDES={ "Store": { "ReadsPerSecond": 2000 }, "Allowances": { }, "Keys": { } }`)
