--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -72,7 +72,7 @@
 	}
 	r := &record{file: file, began: time.Now()}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*record, string, bool) int{"silent": silentCase, "upload": uploadCase, "plain": plainCase}
+	cases := map[string]func(*record, string, bool) int{"upload": uploadCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		os.Exit(cannotRun)
