--- a/review/standin-3/adopt.go
+++ b/review/standin-3/adopt.go
@@ -24,7 +24,7 @@
 	adoptMemoryMB   = 304
 	adoptServers    = 9
 	adoptVMs        = 3
-	adoptQueueTTLS  = 120
+	adoptQueueTTLS  = 60
 	adoptWindowMs   = 18000
 	adoptReadPeriod = 500 * time.Millisecond
 )
--- a/review/standin-3/vm.go
+++ b/review/standin-3/vm.go
@@ -46,8 +46,8 @@
 const (
 	portFront, portReady, portControl, portStore, portEngine = 8161, 8167, 8166, 8169, 8000
 	restartDelay                                             = time.Second
-	// channelTime is what a new channel to a server takes: 1 ms there, and a round trip in the zone.
-	channelTime = 1400 * time.Microsecond
+	// channelTime is what a new channel to a server takes: 1 ms there, and a round trip to another zone of 0.9 ms each way.
+	channelTime = 2800 * time.Microsecond
 )
 
 // NewRig chooses free loopback addresses.
@@ -94,7 +94,7 @@
 	}
 	r.Engines = append(r.Engines, e.Init())
 	r.serve(slowAccept{Listener: l, delay: channelTime}, e)
-	r.Store.Put("servers", e.ID, map[string]any{"service": "llm", "address": addr, "zone": "a", "version": 1, "slots": e.Slots,
+	r.Store.Put("servers", e.ID, map[string]any{"service": "llm", "address": addr, "zone": "b", "version": 1, "slots": e.Slots,
 		"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli()})
 	return nil
 }
