review: case 10, line feeds missing in the texts of items

Cause: an empty first data line of an event is lost, because appending nothing to a nil slice leaves it nil.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,5 +3,5 @@
 cd "$(dirname "$0")" || exit 2
 folder=$PWD
 cd ../.. || exit 2
-[ -x target/rhubarbrudder-vm ] && [ -x target/review-rig ] || { echo "build first: deploy/system.toml, then review/build-2.sh"; exit 2; }
-exec target/review-rig adopt "$PWD" "$folder/record.txt"
+[ -x target/rhubarbrudder-vm ] && [ -x target/review-2/rig ] || { echo "build first: deploy/system.toml, then review/build-2.sh"; exit 2; }
+exec target/review-2/rig lines "$PWD" "$folder/record.txt"
