Keep empty data lines at the beginning of an event

Cause: the reader of events took nil data for "no data line yet", and an empty first data line leaves the data nil, so that the next line was joined without a line feed.

Evidence: TestEvents, TestEventContent, TestEndOfItemStream and TestItemTextsWithLineFeeds failed before in the cases that begin with an empty data line. The joining of events, the rows of a result and the listing were ruled out: they count events and bytes.

Change: an event states whether it has a data line. It is also content of an online stream then, even if the line is empty.

--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -37,6 +37,11 @@
 		"in chunks, complete":            {sent: sound, encoding: []string{"chunked"}, output: "a\nb"},
 		"in chunks, complete and silent": {sent: "", encoding: []string{"chunked"}},
 
+		// Guards against results that lose the line feeds with which the text of an event begins.
+		"texts begin with line feeds": {sent: "id: 1\ndata:\ndata: a\n\nid: 2\ndata:\ndata:\ndata: b\n\n", output: "\na\n\n\nb"},
+		"empty texts":                 {sent: "id: 1\ndata:\n\nid: 2\ndata:\n\nid: 3\ndata: a\n\n", output: "\n\na"},
+
+		"continued after an empty text":   {progress: Progress{After: 1, Events: 1}, sent: sound[15:], output: "\nb"},
 		"continued":                       {progress: begun, sent: sound[15:], output: "a\nb"},
 		"continued, in chunks":            {progress: begun, sent: sound[15:], encoding: []string{"chunked"}, output: "a\nb"},
 		"continued with what is known":    {progress: begun, sent: sound, output: "a\nb"},
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -24,8 +24,10 @@
 	HasID bool
 	// HasFields reports whether the event has any field, also one that is not known here.
 	HasFields bool
-	// Data holds the values of the event's data lines, joined by line feeds.
-	Data []byte
+	// Data holds the values of the event's data lines, joined by line feeds; HasData reports whether it has such a line, which
+	// may be empty.
+	Data    []byte
+	HasData bool
 }
 
 // Continues reports whether an event may be the first one of an answer that continues a stream: it is numbered, or only blank
@@ -36,7 +38,7 @@
 
 // HasContent reports whether the event has an id or data. Blank lines and comments at the end of a stream have neither.
 func (e Event) HasContent() bool {
-	return e.HasID || e.Data != nil
+	return e.HasID || e.HasData
 }
 
 // EventReader reads events from a stream.
@@ -126,10 +128,11 @@
 		e.ID = id
 		e.HasID = true
 	case "data":
-		if e.Data != nil {
+		if e.HasData {
 			e.Data = append(e.Data, '\n')
 		}
 		e.Data = append(e.Data, value...)
+		e.HasData = true
 	}
 	return nil
 }
--- a/internal/forward/event_test.go
+++ b/internal/forward/event_test.go
@@ -37,6 +37,25 @@
 			data:   []string{"a\nb"},
 			end:    io.EOF,
 		},
+		// Guards against texts that lose the line feeds with which they begin.
+		"an empty data line first": {
+			stream: "id: 1\ndata: \ndata: a\n\nid: 2\ndata\ndata:\ndata: b\n\n",
+			ids:    []int64{1, 2},
+			data:   []string{"\na", "\n\nb"},
+			end:    io.EOF,
+		},
+		"only empty data lines": {
+			stream: "id: 1\ndata:\n\nid: 2\r\ndata:\r\ndata: \r\n\r\n",
+			ids:    []int64{1, 2},
+			data:   []string{"", "\n"},
+			end:    io.EOF,
+		},
+		"empty data lines between and after others": {
+			stream: "id: 1\ndata: a\ndata:\ndata: b\ndata:\n\n",
+			ids:    []int64{1},
+			data:   []string{"a\n\nb\n"},
+			end:    io.EOF,
+		},
 		"longer than the buffer": {
 			stream: "id: 1\ndata: " + long + "\n\n",
 			ids:    []int64{1},
@@ -76,3 +95,22 @@
 		})
 	}
 }
+
+// TestEventContent checks which events are content of a stream. One with an empty data line is, like any other with data.
+func TestEventContent(t *testing.T) {
+	for stream, want := range map[string]bool{
+		"data: a\n\n":          true,
+		"data:\n\n":            true,
+		"data\n\n":             true,
+		"id: 1\n\n":            true,
+		"event: ping\n\n":      false,
+		": comment\n\n":        false,
+		"x-unknown: data:\n\n": false,
+	} {
+		t.Run(stream, func(t *testing.T) {
+			event, err := NewEventReader(strings.NewReader(stream)).Next()
+			assert.NilError(t, err)
+			assert.Equal(t, event.HasContent(), want)
+		})
+	}
+}
--- a/test/platform/engine_test.go
+++ b/test/platform/engine_test.go
@@ -32,6 +32,8 @@
 	// breakAtEvent breaks one stream off in the middle of the event with this number and is then reset; zero disables
 	// it. Engines may share it.
 	breakAtEvent *atomic.Int64
+	// text returns the data of a request's event n; it is eventData by default.
+	text func(id string, n int) string
 	// refusing makes the engine refuse requests without executing them.
 	refusing bool
 	// unprocessable holds the IDs of items that the engine always answers with 422.
@@ -83,6 +85,7 @@
 		unprocessable: map[string]bool{},
 		breakAtEvent:  &atomic.Int64{},
 		slowdown:      1,
+		text:          eventData,
 	}
 }
 
@@ -253,7 +256,7 @@
 			n--
 			continue
 		}
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventData(id, n))
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.ReplaceAll(e.text(id, n), "\n", "\ndata: "))
 		if e.breakAtEvent.CompareAndSwap(int64(n), 0) {
 			_, _ = w.Write([]byte(event[:len(event)/2]))
 			_ = control.Flush()
--- a/test/platform/job_test.go
+++ b/test/platform/job_test.go
@@ -114,6 +114,31 @@
 	assert.Equal(t, c.send(2, http.MethodDelete, "/lots/j1", "", "").status, http.StatusOK)
 }
 
+// TestItemTextsWithLineFeeds guards against results that are listed as succeeded without the line feeds with which the texts
+// of their events begin, also when another endpoint continues the output.
+func TestItemTextsWithLineFeeds(t *testing.T) {
+	t.Parallel()
+	texts := []string{"\nfirst", "\n\n", "", "two\n\nlines\n", "\n"}
+	text := func(_ string, n int) string { return texts[n-1] }
+	one := newEngineStandin("e0", 4, len(texts), eventInterval)
+	two := newEngineStandin("e1", 4, len(texts), eventInterval)
+	one.text, two.text = text, text
+	one.breakAtEvent.Store(3)
+	two.breakAtEvent.Store(2)
+	c := newCluster(t, 161, 2, one, two)
+	const items = 6
+	assert.Equal(t, c.send(0, http.MethodPost, "/jobs/x", "j", jobBody("j", items, "b", 10)).status, http.StatusAccepted)
+	var l listing
+	c.waitFor("job complete", func() bool {
+		l, _ = c.readResults(1, "j", 0)
+		return len(l.Results) == items
+	})
+	for _, r := range l.Results {
+		assert.Equal(t, r.State, "succeeded")
+		assert.Equal(t, r.Output, strings.Join(texts, "\n"))
+	}
+}
+
 // TestLargeJob checks a job whose items need more than one transaction and whose results fill several pages.
 func TestLargeJob(t *testing.T) {
 	t.Parallel()
