Give endpoints time to read long prompts

Cause: the limit on an endpoint's silence had one value for prompts of any size, and each endpoint got the same. An endpoint sends nothing while it reads a prompt, so items with long ones were cut off at each endpoint before their first event.

Evidence: each attempt's log line has the error "no data from the endpoint in time"; none was revoked, rejected or reset. The line now has the number of silences in a row.

Change: the limits grow with the size of the prompt that the headers state. For items they also double after two silent endpoints in a row, so that an item ends that needs more time than its size tells. The same limits of online streams, between events and for reports of silence, had the same cause.

--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"rhubarbrudder/internal/forward"
 	"rhubarbrudder/internal/inventory"
 	"rhubarbrudder/internal/memory"
 	"rhubarbrudder/internal/pool"
@@ -20,8 +21,6 @@
 	timePerToken = 3 * time.Millisecond
 	// dueMargin is reserved before the due time for committing the result and for the caller's next read.
 	dueMargin = 200 * time.Millisecond
-	// stallTimeout is how long a run may go without an event before it is cancelled and resumed at another endpoint.
-	stallTimeout = time.Second
 	// initialItemBackoff is the pause after a failed run; it doubles with each further failure.
 	initialItemBackoff = 50 * time.Millisecond
 	// maxItemBackoff bounds the pause.
@@ -52,6 +51,8 @@
 	Failures int
 	// Crashes counts the endpoints that crashed at the beginning of an answer, since the last event.
 	Crashes int
+	// Silences counts the runs that were cancelled because the endpoint sent nothing for too long, since the last event.
+	Silences int
 	// State is the item's final state if it has one that is not committed yet.
 	State State
 }
@@ -76,7 +77,7 @@
 	claim    claim
 	revision store.Revision
 	checked  time.Time
-	// partial holds the progress of items whose result is not committed, if they have some output, or a failure or crash.
+	// partial holds the progress of items whose result is not committed, if they have some output, a failure, a crash or a silence.
 	partial map[ItemID]Progress
 	// attempts is what the claim should say about attempts, and recorded holds the items that wait until it does.
 	attempts map[ItemID]attempts
@@ -214,7 +215,7 @@
 		j.resetProgress(progress)
 	}
 	j.manager.log.Info("item attempt failed", "job", j.id, "item", item.ID, "endpoint", endpoint, "events", progress.Events, "failures", progress.Failures,
-		"prompt", j.prompt(item), "err", err)
+		"silences", progress.Silences, "prompt", j.prompt(item), "err", err)
 	if errors.Is(err, errFailed) {
 		j.recordFailure(ctx, progress)
 	}
@@ -255,6 +256,7 @@
 		Item:     progress.Item,
 		Failures: progress.Failures,
 		Crashes:  progress.Crashes,
+		Silences: progress.Silences,
 	}
 	j.savePartial(progress)
 }
@@ -305,7 +307,11 @@
 		return "", err
 	}
 	answer := answerTimes{}
-	err = j.send(ctx, slot, item, progress, &answer)
+	err = j.send(ctx, slot, item, progress, j.silenceLimit(item, rt, progress), &answer)
+	if errors.Is(err, forward.ErrStalled) {
+		progress.Silences++
+		j.savePartial(progress)
+	}
 	switch {
 	case errors.Is(err, errRevoked), ctx.Err() != nil:
 		slot.Release(pool.TroubleUnknown)
--- a/internal/batch/send.go
+++ b/internal/batch/send.go
@@ -33,12 +33,13 @@
 	return ending
 }
 
-// send sends the item to the slot's endpoint and reads the events of its answer, whose times it records in answer.
-func (j *job) send(ctx context.Context, slot *pool.Slot, item *Item, progress *Progress, answer *answerTimes) error {
+// send sends the item to the slot's endpoint and reads the events of its answer, whose times it records in answer. It returns
+// forward.ErrStalled if no event arrives for longer than the limit.
+func (j *job) send(ctx context.Context, slot *pool.Slot, item *Item, progress *Progress, limit time.Duration, answer *answerTimes) error {
 	if err := forward.CheckNotLeaving(j.manager.inventory, slot.Endpoint); err != nil {
 		return err
 	}
-	ctx, watch := forward.NewWatchdog(ctx, stallTimeout)
+	ctx, watch := forward.NewWatchdog(ctx, limit)
 	defer watch.Stop()
 	stop := context.AfterFunc(revokedContext(ctx, slot), func() {
 		watch.Cancel(errRevoked)
@@ -63,7 +64,7 @@
 	answer.headers = time.Now()
 	switch response.StatusCode {
 	case http.StatusOK:
-		return withCause(ctx, j.readEvents(watch, response, progress, answer))
+		return withCause(ctx, j.readEvents(watch, limit, response, progress, answer))
 	case http.StatusUnprocessableEntity:
 		return errUnprocessable
 	case http.StatusInternalServerError:
@@ -121,8 +122,8 @@
 }
 
 // readEvents appends the events of an answer to the progress. It skips events that are already part of it, and returns
-// ErrBroken if one is missing.
-func (j *job) readEvents(watch *forward.Watchdog, response *http.Response, progress *Progress, answer *answerTimes) error {
+// ErrBroken if one is missing. The watchdog is fed with the limit for the next event.
+func (j *job) readEvents(watch *forward.Watchdog, limit time.Duration, response *http.Response, progress *Progress, answer *answerTimes) error {
 	events := forward.NewEventReader(response.Body)
 	before := progress.Events
 	for {
@@ -140,7 +141,7 @@
 		if !event.HasID || event.ID <= progress.After && progress.Events > 0 {
 			continue
 		}
-		watch.Feed(stallTimeout)
+		watch.Feed(limit)
 		if answer.content.IsZero() {
 			answer.content = time.Now()
 			if answer.onContent != nil {
@@ -169,6 +170,7 @@
 	progress.Events++
 	crashed := progress.Crashes > 0
 	progress.Crashes = 0
+	progress.Silences = 0
 	j.savePartial(progress)
 	if crashed {
 		j.noteAttempts(progress)
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -33,6 +33,9 @@
 // partHeader carries a part of the prompt in the tests' own requests.
 const partHeader = "Prompt-Part"
 
+// tokensHeader carries the size of the prompt in the tests' own requests.
+const tokensHeader = "Prompt-Tokens"
+
 // limitHeader carries an endpoint's limit, and notRunHeader marks a rejection, in the tests' own answers.
 const (
 	limitHeader  = "Limit"
@@ -69,6 +72,11 @@
 	return from.Get(leavingHeader) != ""
 }
 
+func (plainHeaders) PromptTokens(from http.Header) PromptTokens {
+	tokens, _ := strconv.Atoi(from.Get(tokensHeader))
+	return PromptTokens(tokens)
+}
+
 func (plainHeaders) Cost(http.Header) pool.Cost {
 	return 1
 }
@@ -176,13 +184,18 @@
 	took time.Duration
 }
 
-// send sends a request with the id and returns the answer, of which it keeps the beginning.
+// send sends a request with the id and returns the answer.
 func (w *world) send(t *testing.T, id string) callerAnswer {
 	t.Helper()
-	sent := time.Now()
 	request, err := http.NewRequest(http.MethodPost, w.callers.URL+"/p/x", strings.NewReader("question"))
 	assert.NilError(t, err)
 	request.Header.Set(idHeader, id)
+	return w.do(request)
+}
+
+// do sends a request and returns the answer, of which it keeps the beginning.
+func (w *world) do(request *http.Request) callerAnswer {
+	sent := time.Now()
 	response, err := w.callers.Client().Do(request)
 	if err != nil {
 		return callerAnswer{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,11 +58,6 @@
 	// patienceMargin is the time reserved for the last answer to reach the caller: a request is refused that long before
 	// the caller stops waiting, and an answer may be written until that long after the deadline.
 	patienceMargin = 150 * time.Millisecond
-	// stallFirst limits the time to the first event of a stream if the request may be sent again. stallNext limits the
-	// time between events of a stream that may continue at another endpoint. Both are several times what a slow endpoint
-	// takes, and short enough to retry or continue elsewhere before the caller leaves.
-	stallFirst = 600 * time.Millisecond
-	stallNext  = 500 * time.Millisecond
 	// maxAttempts is the maximum number of attempts for one request.
 	maxAttempts = 6
 	// rejectedRetry is the retry delay for callers whose request was rejected at each attempt. In that time several of the
@@ -92,10 +87,12 @@
 	// service is the one picked by the route's shares; it stays the same once the answer has begun.
 	service route.Service
 	// meta.After is the id of the last event sent to the caller once the answer has begun.
-	meta    Meta
-	call    Call
-	prompt  prompt.Prompt
-	arrived time.Time
+	meta   Meta
+	call   Call
+	prompt prompt.Prompt
+	// promptTokens is the size of the prompt that the request's headers state, or zero.
+	promptTokens PromptTokens
+	arrived      time.Time
 	// deadline is the time limit for the complete answer.
 	deadline time.Time
 	// lastEvent is when something was last sent to the caller, or when the request arrived.
@@ -134,17 +131,18 @@
 func (f *Forwarder) Serve(w http.ResponseWriter, r *http.Request, rt *route.Route, caller Caller, account *memory.Account, body []byte, arrived time.Time) {
 	meta := f.headers.Meta(r)
 	s := &serving{
-		Forwarder: f,
-		w:         w,
-		control:   http.NewResponseController(w),
-		route:     rt,
-		service:   rt.Pick(string(meta.ID)),
-		meta:      meta,
-		prompt:    f.headers.Prompt(r.Header),
-		arrived:   arrived,
-		lastEvent: arrived,
-		account:   account,
-		deadline:  arrived.Add(rt.Timeout),
+		Forwarder:    f,
+		w:            w,
+		control:      http.NewResponseController(w),
+		route:        rt,
+		service:      rt.Pick(string(meta.ID)),
+		meta:         meta,
+		prompt:       f.headers.Prompt(r.Header),
+		promptTokens: f.headers.PromptTokens(r.Header),
+		arrived:      arrived,
+		lastEvent:    arrived,
+		account:      account,
+		deadline:     arrived.Add(rt.Timeout),
 		call: Call{
 			ID:     meta.ID,
 			Method: r.Method,
@@ -283,21 +281,6 @@
 	})
 }
 
-// firstTimeout returns the time limit for the first event of a stream, or for the complete answer of another kind.
-func (s *serving) firstTimeout() time.Duration {
-	left := time.Until(s.deadline)
-	attemptsLeft := s.route.Attempts - s.possibleRuns
-	if !s.route.Repeatable() || attemptsLeft <= 1 {
-		return left
-	}
-	if s.route.Kind == route.KindStream {
-		return min(left, stallFirst)
-	}
-	// An answer that is not a stream says nothing until it is complete, so its endpoint may be slow or silent. Each
-	// attempt gets an equal share of the time that is left.
-	return max(min(left, stallFirst), left/time.Duration(attemptsLeft))
-}
-
 // trouble returns the failure of the endpoint that the end of an attempt indicates. Silence counts only for streams, as
 // the duration of other answers says nothing about the endpoint's health.
 func (s *serving) trouble(err error) pool.Trouble {
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -103,6 +103,8 @@
 	Meta(r *http.Request) Meta
 	// Prompt returns the parts of a request's prompt, or nil if its headers name none.
 	Prompt(from http.Header) prompt.Prompt
+	// PromptTokens returns the size of a request's prompt that its headers state, or zero.
+	PromptTokens(from http.Header) PromptTokens
 	// Cost returns the number of tokens of a request's prompt and output that its headers state, at least one.
 	Cost(from http.Header) pool.Cost
 	// Outgoing returns the headers of a request to an endpoint, from those of the caller.
@@ -179,6 +181,11 @@
 	return s.headers.Prompt(call.Header)
 }
 
+// PromptTokens returns the size of a call's prompt that its headers state, or zero.
+func (s *Sender) PromptTokens(call Call) PromptTokens {
+	return s.headers.PromptTokens(call.Header)
+}
+
 // CheckNotLeaving returns ErrLeaving if the granted endpoint takes no new work, as far as this VM knows.
 func CheckNotLeaving(list Inventory, granted inventory.Endpoint) error {
 	if list.LeavingOrGone(granted.Lifetime()) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"rhubarbrudder/internal/pool"
-	"rhubarbrudder/internal/route"
 )
 
 // forwardStream forwards events as they arrive. When the stream resumes at another endpoint, it skips events that the
@@ -44,14 +43,6 @@
 	}
 }
 
-// nextTimeout returns the time limit for the next event of a stream, or for the rest of an answer of another kind.
-func (s *serving) nextTimeout() time.Duration {
-	if s.route.Kind == route.KindStream && s.route.Repeatable() && s.possibleRuns < s.route.Attempts {
-		return stallNext
-	}
-	return time.Until(s.deadline)
-}
-
 // superfluous reports whether an event is not progress: the caller already has it, or it is a comment before the event that
 // continues the stream.
 func (s *serving) superfluous(event Event, continues bool) bool {
@@ -120,7 +111,7 @@
 // silent endpoint even while a request that may not be repeated still waits there. It is used for streams only, as the
 // duration of other answers says nothing about the endpoint's health. The returned function stops it.
 func (s *serving) watchPace(slot *pool.Slot) func() {
-	overdue := time.AfterFunc(stallFirst, func() {
+	overdue := time.AfterFunc(s.overdueAfter(), func() {
 		slot.Observe(pool.TroubleSilent, 0)
 	})
 	sent := time.Now()
--- a/test/platform/engine_test.go
+++ b/test/platform/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,6 +35,10 @@
 	breakAtEvent *atomic.Int64
 	// text returns the data of a request's event n; it is eventData by default.
 	text func(id string, n int) string
+	// reads is how long the engine takes, after its queue, to read the prompt of a request with the headers, before its first
+	// event; nil is no time. pausesAt is the event before which it reads the prompt once more, or zero.
+	reads    func(header http.Header) time.Duration
+	pausesAt int
 	// refusing makes the engine refuse requests without executing them.
 	refusing bool
 	// unprocessable holds the IDs of items that the engine always answers with 422.
@@ -245,6 +250,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := lastEvent + 1; n <= e.events; n++ {
+		if e.reads != nil && (n == lastEvent+1 || n == e.pausesAt) && !e.read(r) {
+			return
+		}
 		interval := e.interval * time.Duration(e.get(func(e *engineStandin) int { return e.slowdown }))
 		select {
 		case <-time.After(interval):
@@ -266,3 +274,16 @@
 		_ = control.Flush()
 	}
 }
+
+// read takes the time for the prompt of a request, and reports whether its caller has waited for it.
+func (e *engineStandin) read(r *http.Request) bool {
+	// The server notices a closed connection only once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	select {
+	case <-time.After(e.reads(r.Header)):
+		return true
+	case <-r.Context().Done():
+		e.update(func(e *engineStandin) { e.aborted++ })
+		return false
+	}
+}
