TestCallerWhoLeaves: let each message arrive before the next

It released the held slot at the instant at which another VM withdrew its request, and asked for the slot at once. If the release arrived alone and first, the steward granted the slot to the request that was being withdrawn, and refused the next one, which could not wait for the slot to return. The steward can't know better; the test is about a caller that has left.

The withdrawal and the release now have the time of a message each. The bound of 100 ms stays.

--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -38,7 +38,7 @@
 		"in chunks, complete and silent": {sent: "", encoding: []string{"chunked"}},
 
 		// Guards against results that lose the line feeds with which the text of an event begins.
-		"texts begin with line feeds": {sent: "id: 1\ndata:\ndata: a\n\nid: 2\ndata:\ndata:\ndata: b\n\n", output: "\na\n\n\nb"},
+		"texts begin with line feeds": {sent: "id: 1\ndata:\n" + "data: a\n\nid: 2\ndata:\n" + "data:\n" + "data: b\n\n", output: "\na\n\n\nb"},
 		"empty texts":                 {sent: "id: 1\ndata:\n\nid: 2\ndata:\n\nid: 3\ndata: a\n\n", output: "\n\na"},
 
 		"continued after an empty text":   {progress: Progress{After: 1, Events: 1}, sent: sound[15:], output: "\nb"},
--- a/internal/pool/client_test.go
+++ b/internal/pool/client_test.go
@@ -328,7 +328,11 @@
 		defer leave()
 		_, err = clients[1].Acquire(leaving, slotRequest("b", time.Second))
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		// The withdrawal and the release each reach the steward first. Otherwise the slot may be granted to the request that is
+		// withdrawn, and the next one is refused if it arrives before the slot is back.
+		time.Sleep(recheckPeriod)
 		held.Release(TroubleNone)
+		time.Sleep(recheckPeriod)
 		_, err = clients[0].Acquire(ctx, slotRequest("c", 100*time.Millisecond))
 		assert.NilError(t, err)
 	})
