Tell a reset from the end of an answer

Cause: a socket reports a reset to the first call that meets it. If that is the write of the request's body, the read of the answer returns an ordinary end, which ends an answer without a length. And when a write fails, net/http drops what has arrived of the answer.

Callers saw: parts of answers, or empty ones, as whole answers, and results listed as succeeded without their last events (MIXED, reported by other operators); and 502 in place of answers that had arrived.

Change: package transport, through which all clients go. A read that meets the end after a write met a reset returns the reset; a write that the other side's close made fail leaves it to the read to tell what became of the answer.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -15,14 +15,15 @@
 	"github.com/openai/openai-go/v3/packages/ssestream"
 
 	"rhubarbrudder/internal/request"
+	"rhubarbrudder/internal/transport"
 )
 
 // Client sends requests to endpoints.
 type Client struct {
 	// pooled keeps connections open between requests. Its transport may resend a request on its own.
-	pooled *http.Client
+	pooled *transport.Transport
 	// unpooled opens a new connection for each request, so that the transport never resends one.
-	unpooled *http.Client
+	unpooled *transport.Transport
 }
 
 const (
@@ -38,29 +39,24 @@
 // NewClient returns a client that reuses connections to endpoints, but only for idempotent requests.
 func NewClient() *Client {
 	return &Client{
-		pooled:   newHTTPClient(true),
-		unpooled: newHTTPClient(false),
+		pooled:   newTransport(true),
+		unpooled: newTransport(false),
 	}
 }
 
-func newHTTPClient(keepAlive bool) *http.Client {
+func newTransport(keepAlive bool) *transport.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 	}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			DisableKeepAlives:      !keepAlive,
-			MaxIdleConns:           0,
-			MaxIdleConnsPerHost:    idleConnections,
-			IdleConnTimeout:        idleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
+	return transport.New(&http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      !keepAlive,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	})
 }
 
 // Answer is an endpoint's answer, read as it arrives. Whoever receives it must close it.
@@ -115,11 +111,11 @@
 	copyHeader(req.Header, r.Header)
 	req.Header.Set(HeaderRequestID, string(r.ID))
 	req.Header.Set(HeaderClass, string(r.Class))
-	client := c.pooled
+	sender := c.pooled
 	if !r.Idempotent {
-		client = c.unpooled
+		sender = c.unpooled
 	}
-	response, err := client.Do(req)
+	response, err := sender.RoundTrip(req)
 	if err != nil {
 		return nil, sendError(err)
 	}
--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return Load{}, err
 	}
-	response, err := c.pooled.Do(req.WithContext(ctx))
+	response, err := c.pooled.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return Load{}, sendError(err)
 	}
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -19,6 +19,7 @@
 	"rhubarbrudder/internal/pool"
 	"rhubarbrudder/internal/prompt"
 	"rhubarbrudder/internal/route"
+	"rhubarbrudder/internal/transport"
 )
 
 var (
@@ -135,9 +136,9 @@
 // Sender sends requests to endpoints, each on a new connection. A new connection carries no late answer to an earlier
 // request, and the transport does not repeat a request on it.
 type Sender struct {
-	client  *http.Client
-	dialer  *net.Dialer
-	headers Headers
+	transport *transport.Transport
+	dialer    *net.Dialer
+	headers   Headers
 }
 
 const (
@@ -160,19 +161,14 @@
 	return &Sender{
 		dialer:  dialer,
 		headers: headers,
-		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext:            dialer.DialContext,
-				DisableKeepAlives:      true,
-				DisableCompression:     true,
-				ReadBufferSize:         connBufferBytes,
-				WriteBufferSize:        connBufferBytes,
-				MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error {
-				return http.ErrUseLastResponse
-			},
-		},
+		transport: transport.New(&http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			ReadBufferSize:         connBufferBytes,
+			WriteBufferSize:        connBufferBytes,
+			MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		}),
 	}
 }
 
@@ -213,7 +209,7 @@
 	if _, has := req.Header["User-Agent"]; !has {
 		req.Header["User-Agent"] = nil
 	}
-	response, err := s.client.Do(req)
+	response, err := s.transport.RoundTrip(req)
 	if err != nil {
 		return nil, sendError(ctx, err)
 	}
--- a/internal/order/sender.go
+++ b/internal/order/sender.go
@@ -10,6 +10,7 @@
 	"github.com/dghubble/sling"
 
 	"rhubarbrudder/internal/endpoint"
+	"rhubarbrudder/internal/transport"
 )
 
 // guardedConn calls the guard before each write and writes nothing if the guard returns an error. The guard is called
@@ -44,7 +45,7 @@
 	}
 	return &sender{
 		orders: &http.Client{
-			Transport: &http.Transport{
+			Transport: transport.New(&http.Transport{
 				// Each order gets a connection of its own, so that none is kept from an earlier term.
 				DisableKeepAlives: true,
 				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -57,9 +58,12 @@
 						guard: guard,
 					}, nil
 				},
-			},
+			}),
 		},
 		states: &http.Client{
+			Transport: transport.New(&http.Transport{
+				DialContext: dialer.DialContext,
+			}),
 			Timeout: stateTimeout,
 		},
 	}
--- a/internal/process/platform.go
+++ b/internal/process/platform.go
@@ -7,6 +7,7 @@
 	"rhubarbrudder/internal/settings"
 	"rhubarbrudder/internal/tablestore"
 	"rhubarbrudder/internal/telemetry"
+	"rhubarbrudder/internal/transport"
 )
 
 // platformClients holds the HTTP clients for the platform's services.
@@ -19,15 +20,15 @@
 // newPlatformClients returns clients that count their calls, and sign them if an access key is configured. Calls to the
 // VM list are never signed.
 func newPlatformClients(s settings.Platform, status *telemetry.Status) (platformClients, error) {
-	transport, err := telemetry.NewPlatformCalls(status.Meter(), &http.Transport{
+	counted, err := telemetry.NewPlatformCalls(status.Meter(), transport.New(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePlatformConnections,
 		IdleConnTimeout:     time.Minute,
-	})
+	}))
 	if err != nil {
 		return platformClients{}, err
 	}
 	plain := &http.Client{
-		Transport: transport,
+		Transport: counted,
 	}
 	if s.AccessKeyFile == "" {
 		return platformClients{
@@ -42,7 +43,7 @@
 	}
 	signed := func(service tablestore.SigningService) *http.Client {
 		return &http.Client{
-			Transport: tablestore.NewSigner(transport, key, service, s.SigningRegion, time.Now),
+			Transport: tablestore.NewSigner(counted, key, service, s.SigningRegion, time.Now),
 		}
 	}
 	return platformClients{
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,114 @@
+package transport
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// serve answers each connection after the headers of a request have arrived, closes it and returns the address.
+func serve(t *testing.T, answer func(conn *net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() {
+					_ = conn.Close()
+				}()
+				if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10)); err == nil {
+					answer(conn.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// post sends a request with a body of the size and returns what arrived of the answer's body.
+func post(t *testing.T, tr *Transport, url string, size int) (string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url, struct{ io.Reader }{strings.NewReader(strings.Repeat("q", size))})
+	assert.NilError(t, err)
+	request.ContentLength = int64(size)
+	response, err := tr.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() {
+		_ = response.Body.Close()
+	}()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+// TestEndOfConnection guards against a reset that counts as the end of an answer without a length, and against answers that are
+// dropped because the request could not be sent to its end.
+func TestEndOfConnection(t *testing.T) {
+	const upload, rounds = 6 << 20, 50
+	tests := map[string]struct {
+		answer string
+		// orderly means that the connection is ended before it is reset.
+		orderly bool
+		// want is the body, unless cut is set.
+		want string
+		cut  bool
+	}{
+		"reset, no answer":                 {cut: true},
+		"reset within the headers":         {answer: "HTTP/1.1 200 OK\r\nA: b", cut: true},
+		"reset after the headers":          {answer: "HTTP/1.1 200 OK\r\n\r\n", cut: true},
+		"reset, no length":                 {answer: "HTTP/1.1 200 OK\r\n\r\nbody", cut: true},
+		"reset, HTTP/1.0":                  {answer: "HTTP/1.0 200 OK\r\n\r\nbody", cut: true},
+		"reset before the length":          {answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody", cut: true},
+		"reset between chunks":             {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", cut: true},
+		"reset at the length":              {answer: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", want: "body"},
+		"reset after the last chunk":       {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", want: "body"},
+		"reset, informational first":       {answer: "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", want: "body"},
+		"end, then reset, no length":       {answer: "HTTP/1.1 200 OK\r\n\r\nbody", orderly: true, want: "body"},
+		"end, then reset, empty":           {answer: "HTTP/1.1 200 OK\r\n\r\n", orderly: true},
+		"end, then reset, before a length": {answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody", orderly: true, cut: true},
+	}
+	for name, test := range tests {
+		for _, pause := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, ", after ", pause), func(t *testing.T) {
+				t.Parallel()
+				url := serve(t, func(conn *net.TCPConn) {
+					_, _ = io.WriteString(conn, test.answer)
+					time.Sleep(pause)
+					if test.orderly {
+						_ = conn.CloseWrite()
+						time.Sleep(pause)
+					}
+					_ = conn.SetLinger(0)
+				})
+				tr := New(&http.Transport{
+					DisableKeepAlives: true,
+				})
+				for n := range rounds {
+					body, err := post(t, tr, url, upload)
+					if test.cut {
+						assert.Assert(t, err != nil, "round %d: %q looks whole", n, body)
+						continue
+					}
+					assert.NilError(t, err, "round %d", n)
+					assert.Equal(t, body, test.want)
+				}
+			})
+		}
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -26,6 +26,7 @@
 	"rhubarbrudder/internal/route"
 	"rhubarbrudder/internal/store"
 	"rhubarbrudder/internal/telemetry"
+	"rhubarbrudder/internal/transport"
 	"rhubarbrudder/platform"
 )
 
@@ -214,12 +215,12 @@
 		}
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: transport.New(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: storeConnections,
 			IdleConnTimeout:     idleTime,
 			DisableCompression:  true,
-		},
+		}),
 	}
 }
 
