Reject answers whose status is none

Cause: net/http returns any three characters that are a number as a status, and panics when it is to send one below 100.

Change: package transport returns an error for a status outside of 200 to 599, so that the attempt counts as broken.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -7,10 +7,22 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 )
 
+// ErrStatus means that an answer's status is none that may end a request, so that it is not an answer. The request may have
+// run.
+var ErrStatus = errors.New("transport: invalid status")
+
+const (
+	// minStatus and maxStatus bound the final statuses of HTTP. Informational ones come before an answer.
+	minStatus = 200
+	maxStatus = 599
+)
+
 // Transport is an http.RoundTripper.
 type Transport struct {
 	base *http.Transport
@@ -36,9 +48,17 @@
 	}
 }
 
-// RoundTrip sends a request and returns the response once its headers have arrived.
+// RoundTrip sends a request and returns the response once its headers have arrived, or ErrStatus if it has no valid status.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(r)
+	response, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("%w %03d", ErrStatus, response.StatusCode)
+	}
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that are kept for further requests.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -112,3 +112,27 @@
 		}
 	}
 }
+
+// TestStatus guards against answers whose status is none, which net/http returns and can't send on.
+func TestStatus(t *testing.T) {
+	tests := map[string]bool{
+		"000": false, "001": false, "-01": false, "+20": false, "099": false, "101": false, "600": false, "999": false, "2000": false, "20": false, "abc": false, "": false,
+		"200": true, "299": true, "302": true, "404": true, "503": true, "599": true,
+	}
+	for status, valid := range tests {
+		t.Run("status "+status, func(t *testing.T) {
+			url := serve(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Text\r\nLocation: ://nowhere\r\nContent-Length: 4\r\n\r\nbody")
+			})
+			tr := New(&http.Transport{})
+			defer tr.CloseIdleConnections()
+			body, err := post(t, tr, url, 0)
+			if !valid {
+				assert.Assert(t, err != nil)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, body, "body")
+		})
+	}
+}
--- a/test/platform/faulty_test.go
+++ b/test/platform/faulty_test.go
@@ -39,6 +39,12 @@
 		{sends: faultyHead + "\r\n" + faultyEvents, reset: true, pause: 50 * time.Millisecond},
 		{sends: faultyHead + "\r\n", reset: true, pause: 2 * time.Millisecond},
 	},
+	"status that is none": {
+		{sends: strings.Replace(faultyHead, "200", "000", 1) + "\r\n" + faultyEvents, pause: 10 * time.Millisecond},
+		{sends: strings.Replace(faultyHead, "200", "+20", 1) + "\r\n" + faultyEvents, pause: 10 * time.Millisecond},
+		{sends: strings.Replace(faultyHead, "200", "999", 1) + "\r\n" + faultyEvents, pause: 10 * time.Millisecond},
+		{sends: strings.Replace(faultyHead, "200", "101", 1) + "\r\n" + faultyEvents, pause: 10 * time.Millisecond},
+	},
 	"end within the head": {
 		{sends: faultyHead},
 		{sends: faultyHead + "\r"},
@@ -96,6 +102,7 @@
 func TestFaultyAnswersOfEngines(t *testing.T) {
 	for name, subnet := range map[string]int{
 		"reset while the body is sent": 165,
+		"status that is none":          166,
 		"end within the head":          167,
 	} {
 		t.Run(name, func(t *testing.T) {
