Bound engines' answers to orders and about their state

Cause: the clients of package order had no limit on the body of an answer, unlike all others.

Operators saw (reported of other systems): a process that keeps bytes without end of a faulty server until it is out of memory. Here a controller kept them for two seconds a question, and an order waited for the end of its answer for all of its time.

Change: transport.NewBounded limits the bodies of all answers.

--- a/internal/order/sender.go
+++ b/internal/order/sender.go
@@ -37,6 +37,8 @@
 const (
 	dialTimeout  = time.Second
 	stateTimeout = 2 * time.Second
+	// maxAnswerBytes bounds the body of an engine's answer to an order, or about its state.
+	maxAnswerBytes = 1 << 20
 )
 
 func newSender(guard func() error) *sender {
@@ -45,7 +47,7 @@
 	}
 	return &sender{
 		orders: &http.Client{
-			Transport: transport.New(&http.Transport{
+			Transport: transport.NewBounded(&http.Transport{
 				// Each order gets a connection of its own, so that none is kept from an earlier term.
 				DisableKeepAlives: true,
 				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -58,12 +60,12 @@
 						guard: guard,
 					}, nil
 				},
-			}),
+			}, maxAnswerBytes),
 		},
 		states: &http.Client{
-			Transport: transport.New(&http.Transport{
+			Transport: transport.NewBounded(&http.Transport{
 				DialContext: dialer.DialContext,
-			}),
+			}, maxAnswerBytes),
 			Timeout: stateTimeout,
 		},
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 )
@@ -17,6 +18,9 @@
 // run.
 var ErrStatus = errors.New("transport: invalid status")
 
+// ErrTooLong means that the body of an answer is longer than allowed.
+var ErrTooLong = errors.New("transport: answer too long")
+
 const (
 	// minStatus and maxStatus bound the final statuses of HTTP. Informational ones come before an answer.
 	minStatus = 200
@@ -26,8 +30,13 @@
 // Transport is an http.RoundTripper.
 type Transport struct {
 	base *http.Transport
+	// maxBody is the maximum size of an answer's body in bytes, or unlimited.
+	maxBody int64
 }
 
+// unlimited stands for no maximum size.
+const unlimited = -1
+
 // New returns a transport with the options of base, which it takes over.
 func New(base *http.Transport) *Transport {
 	dial := base.DialContext
@@ -44,10 +53,18 @@
 		}, nil
 	}
 	return &Transport{
-		base: base,
+		base:    base,
+		maxBody: unlimited,
 	}
 }
 
+// NewBounded is like New. Reading more than maxBody bytes of an answer's body returns ErrTooLong.
+func NewBounded(base *http.Transport, maxBody int64) *Transport {
+	t := New(base)
+	t.maxBody = maxBody
+	return t
+}
+
 // RoundTrip sends a request and returns the response once its headers have arrived, or ErrStatus if it has no valid status.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.base.RoundTrip(r)
@@ -58,9 +75,34 @@
 		_ = response.Body.Close()
 		return nil, fmt.Errorf("%w %03d", ErrStatus, response.StatusCode)
 	}
+	if t.maxBody != unlimited {
+		response.Body = &boundedBody{
+			ReadCloser: response.Body,
+			left:       t.maxBody,
+		}
+	}
 	return response, nil
 }
 
+// boundedBody is a body of which at most left bytes more may be read.
+type boundedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read reads from the body. One byte more than allowed is read to tell a longer body from one of that length.
+func (b *boundedBody) Read(data []byte) (int, error) {
+	if b.left < 0 {
+		return 0, ErrTooLong
+	}
+	n, err := b.ReadCloser.Read(data[:min(int64(len(data)), b.left+1)])
+	b.left -= int64(n)
+	if b.left < 0 {
+		return n - 1, ErrTooLong
+	}
+	return n, err
+}
+
 // CloseIdleConnections closes the connections that are kept for further requests.
 func (t *Transport) CloseIdleConnections() {
 	t.base.CloseIdleConnections()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -136,3 +137,29 @@
 		})
 	}
 }
+
+// TestBounded guards against answers without end that are kept or waited for.
+func TestBounded(t *testing.T) {
+	const most = 1000
+	tests := map[string]struct {
+		size int
+		want error
+	}{
+		"empty":             {},
+		"as long as may be": {size: most},
+		"longer":            {size: most + 1, want: ErrTooLong},
+		"far longer":        {size: 100 * most, want: ErrTooLong},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			url := serve(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", test.size))
+			})
+			body, err := post(t, NewBounded(&http.Transport{
+				DisableKeepAlives: true,
+			}, most), url, 0)
+			assert.Assert(t, errors.Is(err, test.want), "%v", err)
+			assert.Equal(t, len(body), min(test.size, most))
+		})
+	}
+}
--- a/test/platform/endless_test.go
+++ b/test/platform/endless_test.go
@@ -141,3 +141,103 @@
 	assert.Equal(t, c.send(0, http.MethodPost, "/jobs/x", "j", jobBody("j", 6, "b", 10)).status, http.StatusAccepted)
 	c.waitResults(0, "j", 6, 3)
 }
+
+// serveEndlessEvents answers each connection at the address with numbered events, as a sound engine sends them, until it is closed.
+func (c *cluster) serveEndlessEvents(address string) {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() {
+					_ = conn.Close()
+				}()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+				_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nContent-Type: text/event-stream\r\n\r\n")
+				for data := strings.Repeat("x", 1000); err == nil; {
+					last++
+					_, err = fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", last, data)
+				}
+			}()
+		}
+	}()
+}
+
+// TestEndlessAnswersOnAllRoutes guards against a VM that runs out of memory, and ends the requests of others, because engines send
+// answers without end to requests of all kinds, whose callers take them slowly, and to items.
+func TestEndlessAnswersOnAllRoutes(t *testing.T) {
+	t.Parallel()
+	const engines, requests, maxMemoryMB = 60, 120, 160
+	c := newPlatform(t, 168, newEngineStandin("sound", 8, 3, eventInterval))
+	other := newEngineStandin("other", 8, 3, eventInterval)
+	c.serve(c.address(102, portEngine), other)
+	c.store.put("servers", "other", map[string]any{
+		"service": "other", "address": c.address(102, portEngine), "zone": "a", "slots": 8, "state": "ready",
+	})
+	c.putEndlessEngines(engines)
+	for n := range engines {
+		address := c.address(180+n, portEngine)
+		c.serveEndlessEvents(address)
+		c.store.put("servers", fmt.Sprint("events-", n), map[string]any{
+			"service": "llm", "address": address, "zone": "a", "slots": 2, "state": "ready",
+		})
+	}
+	c.configure([]map[string]any{
+		{"name": "plain", "host": routeHost, "pathPrefix": "/plain/", "kind": "idempotent", "service": "llm", "timeoutMs": 4000, "targetLatencyMs": 300, "maxAttempts": 3},
+		{"name": "single", "host": routeHost, "pathPrefix": "/single/", "kind": "non_idempotent", "service": "llm", "timeoutMs": 4000, "targetLatencyMs": 300, "maxAttempts": 1},
+		{"name": "other", "host": routeHost, "pathPrefix": "/other/", "kind": "idempotent", "service": "other", "timeoutMs": 4000, "targetLatencyMs": 300, "maxAttempts": 1},
+	})
+	c.extraSettings = func(int) map[string]any {
+		return map[string]any{"Limits": map[string]any{"MemoryMB": maxMemoryMB}}
+	}
+	c.startAll(1)
+	for n := range 4 {
+		id := fmt.Sprint("j", n)
+		assert.Equal(t, c.send(0, http.MethodPost, "/jobs/x", id, jobBody(id, 30, "b", 10)).status, http.StatusAccepted)
+	}
+	var callers sync.WaitGroup
+	for n := range requests {
+		callers.Go(func() {
+			path := []string{"/resumable/x", "/once/x", "/plain/x", "/single/x"}[n%4]
+			request := c.request(0, http.MethodPost, path, fmt.Sprint("r", n), "")
+			request.Header.Set("X-Deadline-Ms", "4000")
+			response, err := client.Do(request)
+			if err != nil {
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			// Some callers take nothing of the answer, others all of it.
+			if n%8 < 4 {
+				time.Sleep(3 * time.Second)
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+		})
+	}
+	unanswered := 0
+	for n := range 40 {
+		id := fmt.Sprint("o", n)
+		got := c.send(0, http.MethodPost, "/other/x", id, "")
+		if got.err != nil || got.status != http.StatusOK || got.body != wholeStream(id, 3) {
+			unanswered++
+			t.Logf("%s: status %d, %v", id, got.status, got.err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	callers.Wait()
+	peak := c.peakMemoryMB(0)
+	t.Logf("peak of the VM's resident memory: %d MB; %d requests for another service not answered", peak, unanswered)
+	assert.Check(t, peak < maxMemoryMB)
+	assert.Check(t, unanswered == 0)
+}
