Answer the requests that come late in a stop

Cause: a VM that stops decided only whether it accepts connections. What came later on an accepted one was served with the time limit of its route, and cut when the process ended; net/http closes connections on which the first request arrives after its shutdown began.

Those that waited beyond the patience of their callers were refused before, too, which ruled out the wait for slots as the only cause.

Change: until 2.5 s after SIGTERM all requests are served, as before. Then those that still come are refused with 503, from 5 s on also those that wait for a slot, and at 7.2 s requests without an answer get 504.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -111,6 +111,7 @@
 type world struct {
 	client    *pool.Client
 	endpoints []inventory.Endpoint
+	forwarder *Forwarder
 	callers   *httptest.Server
 }
 
@@ -152,6 +153,7 @@
 		budget: budget,
 	}
 	f := New(w, route.NewView(log), w, NewSender(headers), headers, w, log)
+	w.forwarder = f
 	counted := memory.New(memory.BoundOf(testMemory), time.Now, log)
 	w.callers = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		account := counted.Account(memory.Holder(r.RemoteAddr))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,7 @@
 	sender    *Sender
 	headers   Headers
 	recorder  Recorder
+	stop      *stop
 	log       *slog.Logger
 }
 
@@ -74,6 +75,7 @@
 		sender:    sender,
 		headers:   headers,
 		recorder:  recorder,
+		stop:      newStop(),
 		log:       log,
 	}
 }
@@ -158,6 +160,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), s.deadline)
 	defer cancel()
+	ctx, release := endWith(ctx, f.stop.answering)
+	defer release()
 	_ = s.control.SetWriteDeadline(s.deadline.Add(patienceMargin))
 	err := s.run(ctx)
 	s.finish(r.Context(), err)
@@ -168,7 +172,7 @@
 	for {
 		s.call.Caller = s.call.Caller.In(s.routes.Current())
 		asked := time.Now()
-		slot, err := s.acquire(ctx)
+		slot, err := s.acquireBeforeStop(ctx)
 		s.waited += time.Since(asked)
 		if errors.Is(err, route.ErrMoved) {
 			continue
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -56,7 +56,7 @@
 	case s.possibleRuns == 0:
 		// The request did not run, because it got no slot in time or because every attempt failed before it ran.
 		return OutcomeRefused, http.StatusServiceUnavailable
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, ErrStopping):
 		return OutcomeFailed, http.StatusGatewayTimeout
 	}
 	return OutcomeFailed, http.StatusBadGateway
@@ -74,5 +74,8 @@
 	if errors.As(err, &refused) {
 		return refused.RetryAfter
 	}
+	if errors.Is(err, ErrStopping) {
+		return StoppingRetry
+	}
 	return rejectedRetry
 }
--- a/internal/vm/conns.go
+++ b/internal/vm/conns.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// firstRequestTime is how long the first request on a connection is expected. Then the connection counts as idle.
+const firstRequestTime = 5 * time.Second
+
+// due returns the number of connections on which a request is due.
+func (c *connReaper) due() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	due := 0
+	for _, state := range c.waiting {
+		if state.reading && time.Since(state.since) < firstRequestTime {
+			due++
+		}
+	}
+	return due
+}
+
 // reapedListener accepts connections that report to the reaper when data arrives.
 type reapedListener struct {
 	net.Listener
--- a/internal/vm/front.go
+++ b/internal/vm/front.go
@@ -30,6 +30,8 @@
 	// refusedBodyTime and maxRefusedBody bound how long and how much the rest of a refused body is read afterwards.
 	refusedBodyTime = 500 * time.Millisecond
 	maxRefusedBody  = maxBody
+	// stoppingReason is the reason, in the log, of refusals by a VM that stops.
+	stoppingReason = "stopping"
 )
 
 // front is the HTTP handler for callers' requests.
@@ -39,6 +41,8 @@
 	batchManager *batch.Manager
 	headers      platform.Headers
 	draining     atomic.Bool
+	// refusing means that no further requests are served, because the VM stops.
+	refusing atomic.Bool
 	// active counts the requests that have not been answered yet.
 	active atomic.Int64
 	// jobLookups holds a token for each lookup of a job whose route is unknown.
@@ -61,6 +65,10 @@
 	if f.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	if f.refusing.Load() {
+		f.refuseUnread(w, r, http.StatusServiceUnavailable, stoppingReason)
+		return
+	}
 	config := f.view.Current()
 	if config == nil {
 		f.refuseUnread(w, r, http.StatusServiceUnavailable, "no configuration yet")
@@ -94,6 +102,10 @@
 		f.refuseUnread(w, r, status, "body")
 		return
 	}
+	if f.refusing.Load() {
+		f.refuse(w, r, http.StatusServiceUnavailable, stoppingReason)
+		return
+	}
 	if rt.Kind == route.KindBatch {
 		f.accept(w, r, rt, caller, account, body)
 		return
@@ -156,7 +168,11 @@
 		log = log.With("organisation", f.identify(r, config).Organisation)
 	}
 	log.Info("turned away", "id", f.headers.Meta(r).ID, "host", r.Host, "path", r.URL.Path, "status", status, "why", reason)
-	if status == http.StatusServiceUnavailable {
+	switch {
+	case status != http.StatusServiceUnavailable:
+	case f.refusing.Load():
+		f.headers.SetRetryAfter(w.Header(), forward.StoppingRetry)
+	default:
 		f.headers.SetRetryAfter(w.Header(), unavailableRetry)
 	}
 	w.WriteHeader(status)
--- a/internal/vm/job.go
+++ b/internal/vm/job.go
@@ -206,7 +206,7 @@
 			f.refuseJobCall(w, r, err)
 			return
 		}
-		if len(listing.Results) == 0 && call.From < listing.Total && time.Until(deadline) > listingPoll {
+		if len(listing.Results) == 0 && call.From < listing.Total && time.Until(deadline) > listingPoll && !f.refusing.Load() {
 			select {
 			case <-r.Context().Done():
 				return
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -31,20 +31,6 @@
 )
 
 const (
-	// minDrainTime is how long a stopping VM continues to accept requests: the load balancer checks every second and
-	// removes a VM after two answers that it is not ready. Then the VM accepts none; the rest of maxDrainTime is for
-	// the requests in progress.
-	minDrainTime = 2500 * time.Millisecond
-	// maxDrainTime bounds the whole shutdown, below the 8 s after which the process is killed.
-	maxDrainTime = 7300 * time.Millisecond
-	// drainPoll is the time between the handovers of batch jobs during a shutdown.
-	drainPoll = 50 * time.Millisecond
-	// handOverRetry is the time until the next handover after one that failed, usually because of the store.
-	handOverRetry = 500 * time.Millisecond
-	// handOverTimeout bounds one handover of batch jobs, and lastHandOverTime how much longer than maxDrainTime the last one
-	// may take.
-	handOverTimeout  = 2 * time.Second
-	lastHandOverTime = 400 * time.Millisecond
 	// maxHeaderBytes bounds headers before the configured limit is checked.
 	maxHeaderBytes = 64 << 10
 	// headerTime and idleTime bound the arrival of headers and the time of an idle connection if the configuration sets
@@ -71,6 +57,7 @@
 	batchSupervisor *batch.Supervisor
 	front           *front
 	callers         *http.Server
+	callersListener net.Listener
 	connReaper      *connReaper
 	peers           *peer.Server
 	endpoints       *store.Follower
@@ -324,6 +311,9 @@
 		if err != nil {
 			return oops.In("vm").With("address", server.address).Wrap(err)
 		}
+		if server.address == p.settings.Listen.Callers {
+			p.callersListener = listener
+		}
 		group.Add(func() error {
 			return server.serve(listener)
 		}, func(error) {
@@ -334,14 +324,14 @@
 	return nil
 }
 
-// serveCallers serves callers until the process ends. It does not return when only the server is shut down, as that
-// would stop the group.
+// serveCallers serves callers until the process ends. It does not return when only the listener is closed or the server is shut
+// down, as that would stop the group.
 func (p *Process) serveCallers(listener net.Listener) error {
 	err := p.callers.Serve(reapedListener{
 		Listener: listener,
 		reaper:   p.connReaper,
 	})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || p.front.refusing.Load() {
 		<-p.baseCtx.Done()
 	}
 	return err
