--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -356,12 +356,12 @@
 	removed, err := mgr.sweep(context.Background(), retention)
 	assert.NilError(t, err)
 	assert.Equal(t, removed, 0)
-	m.clock += store.Clock((retention + sweepGrace).Milliseconds()) + 1
+	m.advance(store.Clock((retention + sweepGrace).Milliseconds()) + 1)
 	removed, err = mgr.sweep(context.Background(), retention)
 	assert.NilError(t, err)
 	assert.Equal(t, removed, 2)
 	assert.Equal(t, len(m.objects), 0)
-	for address := range m.rows {
+	for _, address := range m.addresses() {
 		assert.Assert(t, strings.HasPrefix(string(address.Key), "open") || address.Table == tableLedger, "%v is left", address)
 	}
 	_, err = mgr.Results(context.Background(), forward.Caller{}, "done", 0, 1000)
@@ -380,7 +380,7 @@
 			m := newMemoryStore()
 			mgr := newManager(t, m, "a")
 			sweep := func(after time.Duration) int {
-				m.clock += store.Clock(after.Milliseconds())
+				m.advance(store.Clock(after.Milliseconds()))
 				removed, err := mgr.sweep(context.Background(), retention)
 				assert.NilError(t, err)
 				return removed
--- a/internal/batch/calls_test.go
+++ b/internal/batch/calls_test.go
@@ -108,13 +108,11 @@
 		assert.NilError(t, b.Adopt(ctx, AdoptArgs{Job: "next"}))
 		time.Sleep(50 * time.Millisecond)
 		recorded.mark("sweep")
-		m.mu.Lock()
-		m.clock += store.Clock((2 * time.Minute).Milliseconds())
-		m.mu.Unlock()
+		m.advance(store.Clock((2 * time.Minute).Milliseconds()))
 		for range 2 {
 			_, err := a.sweep(ctx, time.Second)
 			assert.NilError(t, err)
-			m.clock += store.Clock((2 * time.Minute).Milliseconds())
+			m.advance(store.Clock((2 * time.Minute).Milliseconds()))
 		}
 		want, err := os.ReadFile("testdata/calls.txt")
 		assert.NilError(t, err)
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,20 @@
 	}
 }
 
+// advance moves the store's clock on, also while jobs use the store.
+func (m *memoryStore) advance(by store.Clock) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.clock += by
+}
+
+// addresses returns the addresses of all rows.
+func (m *memoryStore) addresses() []store.Address {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.rows))
+}
+
 func (m *memoryStore) Commit(_ context.Context, txn store.Transaction) (store.Commit, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/batch/waiting_test.go
+++ b/internal/batch/waiting_test.go
@@ -110,21 +110,21 @@
 	c, _, err := b.ledger.claim(context.Background(), claimKey("o", "j"))
 	assert.NilError(t, err)
 	assert.Equal(t, c.Owner, "b")
-	m.clock += 1_000_000
+	m.advance(1_000_000)
 	_, err = b.sweep(context.Background(), 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.closedSince), 0)
 	assert.NilError(t, b.End(context.Background(), forward.Caller{Organisation: "o"}, "j"))
 	waitJobs(b)
-	for address := range m.rows {
+	for _, address := range m.addresses() {
 		assert.Assert(t, address.Table != tableClaims, "%v is left", address)
 	}
 	for range 2 {
 		_, err = b.sweep(context.Background(), 0)
 		assert.NilError(t, err)
-		m.clock += 1_000_000
+		m.advance(1_000_000)
 	}
-	for address := range m.rows {
+	for _, address := range m.addresses() {
 		assert.Assert(t, address.Table == tableLedger, "%v is left", address)
 	}
 }
