forward: a stop says nothing about the endpoint of a run

A run that ends because its VM stops counted as a broken connection of its endpoint. Comments of the stop and of the time for prompts say what they mean. Measured: the tests of internal/forward pass.

--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -318,6 +318,8 @@
 	switch {
 	case err == nil:
 		return pool.TroubleNone
+	case errors.Is(err, ErrStopping):
+		return pool.TroubleUnknown
 	case errors.Is(err, ErrLeaving):
 		return pool.TroubleLeaving
 	case errors.Is(err, ErrNotSent):
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -19,8 +19,8 @@
 	promptTokenTime = 25 * time.Microsecond
 )
 
-// ReadTime returns how long a sound endpoint may take to read a prompt. It sends nothing meanwhile, also not if it reads the
-// prompt again because it ran out of memory between two events.
+// ReadTime returns how long a sound endpoint may take to read a prompt. It sends nothing meanwhile. An endpoint that runs out of
+// memory between two events reads the prompt again.
 func ReadTime(tokens PromptTokens) time.Duration {
 	return time.Duration(tokens) * promptTokenTime
 }
--- a/internal/forward/stop.go
+++ b/internal/forward/stop.go
@@ -30,13 +30,14 @@
 	return s
 }
 
-// EndSending refuses all requests that wait for a slot, now and later. Answers that have begun may still continue at another
-// endpoint.
+// EndSending refuses the requests that wait for a slot, and all that would wait for one later. Answers that have begun may still
+// continue at another endpoint.
 func (f *Forwarder) EndSending() {
 	f.stop.endSending(ErrStopping)
 }
 
-// EndAnswering ends all requests: those that may have run, and whose answer has not begun, with status 504.
+// EndAnswering ends all requests. Those whose answer has not begun are answered, with status 504 if they may have run and with 503
+// otherwise.
 func (f *Forwarder) EndAnswering() {
 	f.stop.endAnswering(ErrStopping)
 }
