Tests: one raw server and one set of routes each

The hostile endpoints of the new tests shared their accept loops by copy. They now stand once in test/platform and once in internal/forward, and the routes of all kinds once.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -225,6 +225,17 @@
 // rawServer answers each connection with answer, which gets the request's id and the connection after the request was
 // read, and then closes the connection. It returns the address and the number of connections.
 func rawServer(t *testing.T, answer func(id string, request *http.Request, conn net.Conn)) (string, *atomic.Int64) {
+	t.Helper()
+	return earlyServer(t, func(id string, request *http.Request, conn *net.TCPConn) {
+		// A connection that is closed with unread bytes is reset.
+		if _, err := io.Copy(io.Discard, request.Body); err == nil {
+			answer(id, request, conn)
+		}
+	})
+}
+
+// earlyServer is like rawServer, but answers as soon as the headers of a request have arrived.
+func earlyServer(t *testing.T, answer func(id string, request *http.Request, conn *net.TCPConn)) (string, *atomic.Int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -244,14 +255,9 @@
 					_ = conn.Close()
 				}()
 				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				// A connection that is closed with unread bytes is reset.
-				if _, err := io.Copy(io.Discard, request.Body); err != nil {
-					return
+				if err == nil {
+					answer(request.Header.Get(idHeader), request, conn.(*net.TCPConn))
 				}
-				answer(request.Header.Get(idHeader), request, conn)
 			}()
 		}
 	}()
--- a/internal/forward/head_test.go
+++ b/internal/forward/head_test.go
@@ -10,8 +10,6 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
-
-	"rhubarbrudder/internal/route"
 )
 
 // TestAnswerThatStopsInItsHead guards against answers that stop within their head, at any byte, and reach the caller as whole
@@ -25,21 +23,8 @@
 		"informational first": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + idHeader + ": IDN\r\n\r\n",
 		"HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + idHeader + ": IDN\r\n\r\n",
 	}
-	once := resumableRoute
-	once.Kind = route.KindOnce
-	once.Resumable = false
-	onceStream := resumableRoute
-	onceStream.Resumable = false
-	plain := resumableRoute
-	plain.Kind = route.KindIdempotent
-	routes := map[string]route.Route{
-		"once":             once,
-		"stream once":      onceStream,
-		"plain":            plain,
-		"resumable stream": resumableRoute,
-	}
 	for name, head := range heads {
-		for kind, rt := range routes {
+		for kind, rt := range routesOfKinds() {
 			t.Run(name+", "+kind, func(t *testing.T) {
 				t.Parallel()
 				// The id of a request is the number of bytes that the endpoint sends.
--- a/internal/forward/status_test.go
+++ b/internal/forward/status_test.go
@@ -13,9 +13,8 @@
 	"rhubarbrudder/internal/route"
 )
 
-// TestInvalidStatus guards against statuses that are none and reach the caller, or that end the request without any answer and
-// keep its slot.
-func TestInvalidStatus(t *testing.T) {
+// routesOfKinds returns a route for requests of each kind that is forwarded.
+func routesOfKinds() map[string]route.Route {
 	once := resumableRoute
 	once.Kind = route.KindOnce
 	once.Resumable = false
@@ -23,14 +22,19 @@
 	onceStream.Resumable = false
 	plain := resumableRoute
 	plain.Kind = route.KindIdempotent
-	routes := map[string]route.Route{
+	return map[string]route.Route{
 		"once":             once,
 		"stream once":      onceStream,
 		"plain":            plain,
 		"resumable stream": resumableRoute,
 	}
+}
+
+// TestInvalidStatus guards against statuses that are none and reach the caller, or that end the request without any answer and
+// keep its slot.
+func TestInvalidStatus(t *testing.T) {
 	for _, status := range []string{"000", "007", "099", "+20", "101", "600", "999"} {
-		for name, rt := range routes {
+		for name, rt := range routesOfKinds() {
 			t.Run(status+" "+name, func(t *testing.T) {
 				t.Parallel()
 				head := func(id, status string) string {
--- a/internal/forward/upload_test.go
+++ b/internal/forward/upload_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -15,35 +14,6 @@
 	"rhubarbrudder/internal/route"
 )
 
-// earlyServer answers each connection as soon as the headers of a request have arrived, without reading its body, and returns
-// its address. The function answer gets the request's id, and the connection is closed when it returns.
-func earlyServer(t *testing.T, answer func(id string, conn *net.TCPConn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() {
-		_ = listener.Close()
-	})
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() {
-					_ = conn.Close()
-				}()
-				request, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10))
-				if err == nil {
-					answer(request.Header.Get(idHeader), conn.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // upload sends a request with the id and a body of the size, and returns the answer.
 func (w *world) upload(t *testing.T, id string, size int) callerAnswer {
 	t.Helper()
@@ -150,7 +120,7 @@
 		for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, " ", pause), func(t *testing.T) {
 				t.Parallel()
-				address := earlyServer(t, func(id string, conn *net.TCPConn) {
+				address, _ := earlyServer(t, func(id string, _ *http.Request, conn *net.TCPConn) {
 					c.answer(id, conn, pause)
 				})
 				w := newWorld(t, c.route, 0, 1, address)
--- a/test/platform/endless_test.go
+++ b/test/platform/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,15 +39,28 @@
 	{first: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Encoding: gzip\r\n\r\n", repeat: "x"},
 }
 
-// serveEndless answers each connection at the address with endless bytes.
-func (c *cluster) serveEndless(address string, first, repeat string) {
+// rawAnswer answers a request, whose headers have been read, on its connection.
+type rawAnswer func(request *http.Request, conn *net.TCPConn)
+
+// serveRaw answers each connection at the address and then closes it. The receive buffers have the given size in bytes, or that of
+// the system for zero.
+func (c *cluster) serveRaw(address string, receiveBuffer int, answer rawAnswer) {
 	c.t.Helper()
-	listener, err := net.Listen("tcp", address)
+	config := net.ListenConfig{
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			if receiveBuffer == 0 {
+				return nil
+			}
+			return raw.Control(func(descriptor uintptr) {
+				_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			})
+		},
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	assert.NilError(c.t, err)
 	c.t.Cleanup(func() {
 		_ = listener.Close()
 	})
-	data := []byte(strings.Repeat(repeat, 1+(16<<10)/len(repeat)))
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -57,18 +72,26 @@
 					_ = conn.Close()
 				}()
 				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, strings.ReplaceAll(first, "ID", request.Header.Get("X-Attempt-Id")))
-				for err == nil {
-					_, err = conn.Write(data)
+				if err == nil {
+					answer(request, conn.(*net.TCPConn))
 				}
 			}()
 		}
 	}()
 }
 
+// serveEndless answers each connection at the address with endless bytes.
+func (c *cluster) serveEndless(address string, first, repeat string) {
+	c.t.Helper()
+	data := []byte(strings.Repeat(repeat, 1+(16<<10)/len(repeat)))
+	c.serveRaw(address, 0, func(request *http.Request, conn *net.TCPConn) {
+		_, err := io.WriteString(conn, strings.ReplaceAll(first, "ID", request.Header.Get("X-Attempt-Id")))
+		for err == nil {
+			_, err = conn.Write(data)
+		}
+	})
+}
+
 // putEndlessEngines lists engines that send bytes without end.
 func (c *cluster) putEndlessEngines(count int) {
 	c.t.Helper()
@@ -145,34 +168,15 @@
 // serveEndlessEvents answers each connection at the address with numbered events, as a sound engine sends them, until it is closed.
 func (c *cluster) serveEndlessEvents(address string) {
 	c.t.Helper()
-	listener, err := net.Listen("tcp", address)
-	assert.NilError(c.t, err)
-	c.t.Cleanup(func() {
-		_ = listener.Close()
-	})
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() {
-					_ = conn.Close()
-				}()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-				_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nContent-Type: text/event-stream\r\n\r\n")
-				for data := strings.Repeat("x", 1000); err == nil; {
-					last++
-					_, err = fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", last, data)
-				}
-			}()
+	data := strings.Repeat("x", 1000)
+	c.serveRaw(address, 0, func(request *http.Request, conn *net.TCPConn) {
+		last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nContent-Type: text/event-stream\r\n\r\n")
+		for err == nil {
+			last++
+			_, err = fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", last, data)
 		}
-	}()
+	})
 }
 
 // TestEndlessAnswersOnAllRoutes guards against a VM that runs out of memory, and ends the requests of others, because engines send
--- a/test/platform/faulty_test.go
+++ b/test/platform/faulty_test.go
@@ -1,15 +1,12 @@
 package platform
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -54,47 +51,21 @@
 	},
 }
 
-// serveFaulty answers each connection at the address. The receive buffers are small, so
-// that a large body is still being sent when the connection is reset.
+// serveFaulty answers each connection at the address. The receive buffers are small, so that a large body is still being sent when
+// the connection is reset.
 func (c *cluster) serveFaulty(address string, answer faultyAnswer) {
 	c.t.Helper()
-	config := net.ListenConfig{
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(descriptor uintptr) {
-				_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
-			})
-		},
-	}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	assert.NilError(c.t, err)
-	c.t.Cleanup(func() {
-		_ = listener.Close()
-	})
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() {
-					_ = conn.Close()
-				}()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, strings.ReplaceAll(answer.sends, "ID", request.Header.Get("X-Attempt-Id")))
-				if !answer.reset {
-					_, _ = io.Copy(io.Discard, request.Body)
-				}
-				time.Sleep(answer.pause)
-				if answer.reset {
-					_ = conn.(*net.TCPConn).SetLinger(0)
-				}
-			}()
+	const receiveBuffer = 4 << 10
+	c.serveRaw(address, receiveBuffer, func(request *http.Request, conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(answer.sends, "ID", request.Header.Get("X-Attempt-Id")))
+		if !answer.reset {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		time.Sleep(answer.pause)
+		if answer.reset {
+			_ = conn.SetLinger(0)
 		}
-	}()
+	})
 }
 
 // TestFaultyAnswersOfEngines guards against answers of faulty engines that reach a caller, or a job's results, as whole ones, and
