endpoint: bound what long bodies take together

Cause: an answer that is not streamed is held as a whole, up to 64 MB each, and nothing counted them together.

Callers would see (reported of other systems): a gateway that runs out of memory, and all its requests end with it.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -24,6 +24,8 @@
 	pooled *transport.Transport
 	// unpooled opens a new connection for each request, so that the transport never resends one.
 	unpooled *transport.Transport
+	// shared is the memory that long bodies of answers take together.
+	shared sharedBytes
 }
 
 const (
@@ -69,6 +71,9 @@
 	events   ssestream.Decoder
 	// limit bounds what is read for one event of a stream.
 	limit *eventLimit
+	// reserved is the part of the shared memory that the body takes, in bytes.
+	shared   *sharedBytes
+	reserved int64
 }
 
 // eventLimit is a body that can't be read further once maxEventBytes were read without a complete event. The decoder of
@@ -123,6 +128,7 @@
 		Status: response.StatusCode,
 		Header: response.Header,
 		body:   response.Body,
+		shared: &c.shared,
 	}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		answer.Streamed = true
@@ -169,22 +175,8 @@
 	return nil, errors.Join(ErrBroken, a.events.Err())
 }
 
-// maxWholeBytes bounds an answer that is not streamed.
-const maxWholeBytes = 64 << 20
-
-// ReadBody returns the body of an answer that is not streamed, and ErrBroken if it did not arrive completely.
-func (a *Answer) ReadBody() ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(a.body, maxWholeBytes+1))
-	if err != nil {
-		return nil, errors.Join(ErrBroken, err)
-	}
-	if len(data) > maxWholeBytes {
-		return nil, ErrTooLarge
-	}
-	return data, nil
-}
-
 // Close closes the answer. Closing it before its end cancels the request at the endpoint.
 func (a *Answer) Close() {
 	_ = a.body.Close()
+	a.shared.add(-a.reserved)
 }
--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -50,6 +54,67 @@
 	}
 }
 
+// TestEndlessBodiesAtOnce guards against a process that runs out of memory because many answers have no end, and against short
+// answers that are lost meanwhile. A VM has 304 MB. Bodies of the allowed size are read one at a time.
+func TestEndlessBodiesAtOnce(t *testing.T) {
+	const answers, maxHeapBytes = 60, 304 << 20
+	faulty, _ := serveEndless(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 16<<10))
+	sound := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 100<<10))
+	}))
+	defer sound.Close()
+	client := endpoint.NewClient()
+	read := func(address string) error {
+		answer, err := client.Send(t.Context(), endpoint.Endpoint{
+			Address: address,
+		}, request.Request{
+			ID:     "1",
+			Method: http.MethodPost,
+			Path:   "/plain",
+		}, nil)
+		if err != nil {
+			return err
+		}
+		defer answer.Close()
+		_, err = answer.ReadBody()
+		return err
+	}
+	runtime.GC()
+	var running sync.WaitGroup
+	for range answers {
+		running.Go(func() {
+			assert.Check(t, errors.Is(read(faulty), endpoint.ErrTooLarge))
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(ended)
+	}()
+	most := uint64(0)
+	for open := true; open; {
+		assert.Check(t, read(sound.Listener.Addr().String()))
+		var now runtime.MemStats
+		runtime.ReadMemStats(&now)
+		most = max(most, now.HeapInuse)
+		select {
+		case <-ended:
+			open = false
+		default:
+		}
+	}
+	t.Logf("heap in use: at most %d MB", most>>20)
+	assert.Assert(t, most < maxHeapBytes)
+	// The memory is free again.
+	large := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 60<<20))
+	}))
+	defer large.Close()
+	for range 3 {
+		assert.NilError(t, read(large.Listener.Addr().String()))
+	}
+}
+
 func readWhole(ctx context.Context, address string) error {
 	answer, err := endpoint.NewClient().Send(ctx, endpoint.Endpoint{
 		Address: address,
