TestResetDuringUpload: wait for bytes that nobody reads

The stand-in now reads a byte of what arrives after its answer, so that more is unread when it closes, whatever the machine does.

--- a/internal/forward/upload_test.go
+++ b/internal/forward/upload_test.go
@@ -73,8 +73,9 @@
 			route: once,
 			answer: func(id string, conn *net.TCPConn, pause time.Duration) {
 				_, _ = io.WriteString(conn, head(id)+"part")
-				// Bytes that nobody reads have arrived by then, so that closing the connection resets it.
-				time.Sleep(pause + 10*time.Millisecond)
+				time.Sleep(pause)
+				// More has arrived than is read, so that closing the connection resets it.
+				_, _ = conn.Read(make([]byte, 1))
 			},
 		},
 		"whole answer without length": {
