--- a/test/platform/late_test.go
+++ b/test/platform/late_test.go
@@ -124,8 +124,11 @@
 			}
 			switch {
 			case got.status == http.StatusOK:
-				assert.Check(t, strings.HasPrefix(got.body, "id: 1\n") && strings.HasSuffix(got.body, "\n\n"), "%s: %q", id, got.body)
-			case got.status == http.StatusAccepted:
+				events := long.events
+				if strings.HasPrefix(l.path, "/busy/") {
+					events = busy.events
+				}
+				assert.Check(t, got.body == wholeStream(id, events), "%s: %q", id, got.body)
 			case got.status == http.StatusServiceUnavailable:
 				assert.Check(t, runs == 0, "%s: refused, but %d runs", id, runs)
 				assert.Check(t, got.header.Get("Retry-After") != "", "%s: no time to retry", id)
